--- a/bamboodeck/controller/app.py
+++ b/bamboodeck/controller/app.py
@@ -43,8 +43,8 @@
 from bamboodeck.peers.link import PeerLink
 from bamboodeck.peers.post import Post
 from bamboodeck.peers.reporter import NodeReporter
-from bamboodeck.platform.host_list import HttpHostList
-from bamboodeck.platform.weight_store import HttpWeightStore
+from bamboodeck.external.host_list import HttpHostList
+from bamboodeck.external.weight_store import HttpWeightStore
 from bamboodeck.settings.process import ControllerSettings, PeerRole
 
 STORE_TIMEOUT_S = 2.0
--- a/bamboodeck/controller/hosts.py
+++ b/bamboodeck/controller/hosts.py
@@ -6,7 +6,7 @@
 from bamboodeck.peers.fleet import FleetMap
 from bamboodeck.peers.link import PeerLink
 from bamboodeck.peers.messages import LeavingHosts
-from bamboodeck.platform.host_list import (
+from bamboodeck.external.host_list import (
     HostListPort,
     HostListReply,
     HostRole,
--- a/bamboodeck/controller/placement.py
+++ b/bamboodeck/controller/placement.py
@@ -28,7 +28,7 @@
     PlacementState,
     UnloadVersion,
 )
-from bamboodeck.platform.weight_store import WeightStorePort
+from bamboodeck.external.weight_store import WeightStorePort
 from bamboodeck.settings.process import PeerRole
 
 ROUND_PERIOD_S = 1.0
--- a/bamboodeck/controller/placement_sender.py
+++ b/bamboodeck/controller/placement_sender.py
@@ -25,7 +25,7 @@
     PlacementOrder,
     UnloadVersion,
 )
-from bamboodeck.platform.weight_store import (
+from bamboodeck.external.weight_store import (
     FetchWeights,
     WeightsFetched,
     WeightsLimited,
--- a/bamboodeck/entry/ratings.py
+++ b/bamboodeck/entry/ratings.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from bamboodeck.chat.context import AnswerToRate, NotScored, Scored
-from bamboodeck.platform.rating import (
+from bamboodeck.external.rating import (
     RateAnswer,
     Rated,
     RatingPort,
--- a/bamboodeck/entry/serving.py
+++ b/bamboodeck/entry/serving.py
@@ -13,7 +13,7 @@
 from bamboodeck.orders.book import OrderBook
 from bamboodeck.orders.messages import OrderLimits
 from bamboodeck.orders.pending import OrderClock
-from bamboodeck.platform.rating import HttpRating
+from bamboodeck.external.rating import HttpRating
 from bamboodeck.routing.router import Router
 
 _SEED_BITS = 64
--- /dev/null
+++ b/bamboodeck/external/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the other services of the platform through narrow ports."""
--- a/bamboodeck/platform/host_list.py
+++ b/bamboodeck/external/host_list.py
@@ -7,7 +7,7 @@
 
 from bamboodeck.http.client import HttpClient
 from bamboodeck.http.messages import Address, HttpCall, HttpOutcome
-from bamboodeck.platform.replies import BadReplyError, read_payload
+from bamboodeck.external.replies import BadReplyError, read_payload
 
 DEFAULT_TIMEOUT_S = 2.0
 
--- a/bamboodeck/platform/rating.py
+++ b/bamboodeck/external/rating.py
@@ -15,7 +15,7 @@
     HttpFailed,
     HttpOutcome,
 )
-from bamboodeck.platform.replies import BadReplyError, read_payload
+from bamboodeck.external.replies import BadReplyError, read_payload
 
 DEFAULT_TIMEOUT_S = 2.0
 
--- a/bamboodeck/platform/weight_store.py
+++ b/bamboodeck/external/weight_store.py
@@ -15,7 +15,7 @@
     HttpOutcome,
     HttpReply,
 )
-from bamboodeck.platform.replies import (
+from bamboodeck.external.replies import (
     BadReplyError,
     read_payload,
     read_retry_after_s,
--- a/bamboodeck/fakes/host_list.py
+++ b/bamboodeck/fakes/host_list.py
@@ -22,7 +22,7 @@
 from bamboodeck.http.responder import Responder
 from bamboodeck.logs import EventLog
 from bamboodeck.loop.program import Loop
-from bamboodeck.platform.host_list import (
+from bamboodeck.external.host_list import (
     Host,
     HostRole,
     HostsRead,
--- a/bamboodeck/fakes/rating.py
+++ b/bamboodeck/fakes/rating.py
@@ -18,7 +18,7 @@
 from bamboodeck.http.responder import Responder
 from bamboodeck.logs import EventLog
 from bamboodeck.loop.program import Loop
-from bamboodeck.platform.rating import RateAnswer, Rated
+from bamboodeck.external.rating import RateAnswer, Rated
 
 BAD_SCORE = 0.1
 ANY_CLASS = ''
--- a/bamboodeck/fakes/weights.py
+++ b/bamboodeck/fakes/weights.py
@@ -10,7 +10,7 @@
 from bamboodeck.http.responder import Responder
 from bamboodeck.logs import EventLog
 from bamboodeck.loop.program import Loop
-from bamboodeck.platform.weight_store import FetchWeights, WeightsFetched
+from bamboodeck.external.weight_store import FetchWeights, WeightsFetched
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/bamboodeck/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Pass opaque requests on to the backend servers of a platform."""
--- /dev/null
+++ b/bamboodeck/gateway/__main__.py
@@ -0,0 +1,6 @@
+"""Run the gateway process."""
+
+from bamboodeck.gateway.program import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bamboodeck/gateway/app.py
@@ -0,0 +1,230 @@
+"""Put the gateway together and end it gracefully."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboodeck.environment import Environment
+from bamboodeck.gateway.context import GatewayContext, build_context
+from bamboodeck.gateway.discovery import Discovery
+from bamboodeck.gateway.events import (
+    GatewayStarted,
+    GatewayStopped,
+    GatewayStopping,
+    LinesLeftOut,
+)
+from bamboodeck.gateway.fleet import Fleet
+from bamboodeck.gateway.model import HostSettings
+from bamboodeck.gateway.output import BoundedOutput
+from bamboodeck.gateway.ports import ExchangeCodec, Registry
+from bamboodeck.gateway.rollout_guide import RolloutGuide
+from bamboodeck.gateway.traffic import Traffic
+from bamboodeck.http.client import HttpClient
+from bamboodeck.http.intake import ParsedRequest
+from bamboodeck.http.messages import Header
+from bamboodeck.http.relay_server import RelayExchange, RelayServer
+from bamboodeck.logs import EventLog, build_event_log
+from bamboodeck.loop.program import Loop
+
+# Descriptors for files, the store, listening sockets and a margin.
+RESERVED_DESCRIPTORS = 300
+# Callers' share of the other descriptors; the rest is for engines.
+CALLER_PART = 0.6
+# The balancer asks once a second and takes a host out after two misses, so
+# for this long after SIGTERM new connections still come.
+STILL_CHOSEN_S = 2.4
+# Answers are broken off this much before the platform kills the process.
+KILL_MARGIN_S = 0.4
+STOP_CHECK_S = 0.05
+DRAIN_LOG_S = 0.1
+LOG_SECOND_S = 1.0
+
+_OK = 200
+_UNAVAILABLE = 503
+_PLAIN = (Header('Content-Type', 'text/plain; charset=utf-8'),)
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Hold the adapter to the platform."""
+
+    codec: ExchangeCodec
+    build_registry: Callable[[HttpClient, HostSettings], Registry]
+
+
+class GatewayApp:
+    """Own the parts of a gateway process."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        settings: HostSettings,
+        platform: Platform,
+        output: BoundedOutput,
+    ) -> None:
+        """Listen; callers are refused until there is a configuration."""
+        self._began_s = time.perf_counter()
+        self.output = output
+        self.loop = Loop(environment)
+        self.log: EventLog = build_event_log(output)
+        self.context: GatewayContext = build_context(
+            environment,
+            settings,
+            self.loop,
+            self.log,
+        )
+        registry = platform.build_registry(self.context.client, settings)
+        self.fleet = Fleet(self.context, registry)
+        self.guide = RolloutGuide(
+            self.context,
+            registry,
+            self.fleet.find_turn,
+        )
+        self.traffic = Traffic(self.context, platform.codec, self.guide)
+        self.discovery = Discovery(
+            self.context,
+            registry,
+            self.guide,
+            self._on_peer,
+            self._on_configuration,
+        )
+        self._codec = platform.codec
+        self.stopping_since_s: float | None = None
+        open_descriptors = settings.max_descriptors - RESERVED_DESCRIPTORS
+        self.callers = RelayServer(
+            self.loop,
+            settings.callers_listen,
+            self.traffic.handle,
+            max_connections=max(int(open_descriptors * CALLER_PART), 16),
+        )
+        self.ready = RelayServer(
+            self.loop,
+            settings.ready_listen,
+            self._answer_ready,
+            max_connections=16,
+        )
+        self.metrics = RelayServer(
+            self.loop,
+            settings.metrics_listen,
+            self._answer_metrics,
+            max_connections=16,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may come."""
+        if self.stopping_since_s is not None or self.context.routes is None:
+            return False
+        return any(not engine.unlisted for engine in self.context.engines)
+
+    def run(self) -> None:
+        """Serve until the process is told to stop."""
+        self.start()
+        self.loop.run()
+
+    def start(self) -> None:
+        """Follow the store, join the fleet, and heed signals."""
+        settings = self.context.settings
+        self.loop.stop_by(self.stop)
+        self.discovery.start()
+        self.fleet.start(self.guide)
+        scheduler = self.loop.scheduler
+        scheduler.call_every(DRAIN_LOG_S, self.output.drain)
+        scheduler.call_every(LOG_SECOND_S, self._bound_log)
+        self.log.emit(
+            GatewayStarted(
+                settings.host,
+                settings.zone,
+                str(self.callers.address),
+                str(self.ready.address),
+                str(settings.peer_listen),
+                str(self.metrics.address),
+                str(settings.store),
+                (time.perf_counter() - self._began_s) * 1000,
+            ),
+        )
+        self.output.drain()
+
+    def stop(self) -> None:
+        """Take no new connections before long, finish what runs, then end."""
+        if self.stopping_since_s is not None:
+            return
+        now_s = self.context.now_s()
+        self.stopping_since_s = now_s
+        grace_s = self.context.settings.bounds.grace_s
+        self.log.emit(
+            GatewayStopping(
+                len(self.traffic.running),
+                len(self.context.waiting),
+                grace_s,
+            ),
+        )
+        # Answers from now on close their connections, new ones still come.
+        self.callers.stopping = True
+        scheduler = self.loop.scheduler
+        scheduler.call_after(STILL_CHOSEN_S, self.callers.stop_accepting)
+        scheduler.call_after(STILL_CHOSEN_S, self._end_if_idle)
+        scheduler.call_after(grace_s - KILL_MARGIN_S, self._end)
+
+    def _end_if_idle(self) -> None:
+        if not self.callers.connections:
+            self._end()
+            return
+        self.loop.scheduler.call_after(STOP_CHECK_S, self._end_if_idle)
+
+    def _end(self) -> None:
+        running = len(self.traffic.running)
+        ran_s = time.perf_counter() - self._began_s
+        self.log.emit(GatewayStopped(running, ran_s))
+        self.output.drain()
+        self.loop.finish()
+
+    def _on_peer(self, fact) -> None:
+        self.fleet.take_peer(fact)
+        self.traffic.hosts = self.fleet.hosts
+        self.context.budget.hosts = self.fleet.hosts
+
+    def _on_configuration(self) -> None:
+        self.callers.limits = self.context.configuration.limits
+
+    def _bound_log(self) -> None:
+        left_out = self.output.start_second()
+        if left_out:
+            self.context.metrics.count('log_lines_left_out', left_out)
+            self.log.warn(LinesLeftOut(left_out, LOG_SECOND_S))
+
+    def _answer_ready(
+        self,
+        parsed: ParsedRequest,
+        responder: RelayExchange,
+    ) -> None:
+        if not self._codec.is_ready_check(parsed):
+            responder.respond(404)
+            return
+        responder.respond(_OK if self.is_ready() else _UNAVAILABLE)
+
+    def _answer_metrics(
+        self,
+        parsed: ParsedRequest,
+        responder: RelayExchange,
+    ) -> None:
+        context = self.context
+        now_s = context.now_s()
+        states = {
+            'configuration_version': (
+                context.configuration.version if context.configuration else 0
+            ),
+            'registry_revision': self.discovery.revision,
+            'registry_age_s': now_s - context.registry_heard_s,
+            'hosts': self.fleet.hosts,
+            'engines': sum(not each.unlisted for each in context.engines),
+            'engines_open': sum(
+                each.is_open(now_s) for each in context.engines
+            ),
+            'running': len(self.traffic.running),
+            'waiting': len(context.waiting),
+            'caller_connections': len(self.callers.connections),
+            'ready': int(self.is_ready()),
+        }
+        for name, number in states.items():
+            context.metrics.set_state(name, number)
+        responder.respond(_OK, _PLAIN, context.metrics.render())
--- /dev/null
+++ b/bamboodeck/gateway/budget.py
@@ -0,0 +1,56 @@
+"""Keep a host's repeats below its part of the fleet's budget.
+
+Load pattern: engines fail, every host repeats, and the repeats add to the load
+that made them fail. Each host keeps to the ratio by its own requests, so the
+sum over all hosts does too.
+"""
+
+from collections import deque
+
+# Leaves room for requests that a host counts and engines never see.
+SAFE_PART = 0.8
+
+
+class RepeatBudget:
+    """Count requests and repeats over a sliding window, by service."""
+
+    def __init__(self, ratio: float, window_s: float, slack: float) -> None:
+        """Keep the deployment's bounds; `slack` is the whole fleet's."""
+        self.hosts = 1
+        self._ratio = ratio * SAFE_PART
+        self._window_s = window_s
+        self._slack = slack * SAFE_PART
+        self._requests: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+
+    def note_request(self, service: str, now_s: float) -> None:
+        """Count a caller's request."""
+        self._requests.setdefault(service, deque()).append(now_s)
+
+    def note_repeat(self, service: str, now_s: float) -> None:
+        """Count a further arrival at an engine."""
+        self._repeats.setdefault(service, deque()).append(now_s)
+
+    def allows(self, service: str, now_s: float) -> bool:
+        """Tell whether one more repeat keeps to the budget."""
+        return self.left(service, now_s) >= 1
+
+    def left(self, service: str, now_s: float) -> float:
+        """Return how many repeats are left now."""
+        requests = self._count(self._requests, service, now_s)
+        repeats = self._count(self._repeats, service, now_s)
+        allowed = self._ratio * requests + self._slack / max(self.hosts, 1)
+        return allowed - repeats
+
+    def _count(
+        self,
+        times: dict[str, deque[float]],
+        service: str,
+        now_s: float,
+    ) -> int:
+        seen = times.get(service)
+        if seen is None:
+            return 0
+        while seen and seen[0] < now_s - self._window_s:
+            seen.popleft()
+        return len(seen)
--- /dev/null
+++ b/bamboodeck/gateway/context.py
@@ -0,0 +1,84 @@
+"""Hold what all requests of a gateway share."""
+
+from dataclasses import dataclass, field
+
+from bamboodeck.admission.poison import PoisonGuard
+from bamboodeck.environment import Environment
+from bamboodeck.gateway.budget import RepeatBudget
+from bamboodeck.gateway.engines import EngineBook
+from bamboodeck.gateway.measures import GatewayMetrics
+from bamboodeck.gateway.model import GatewayConfiguration, HostSettings
+from bamboodeck.gateway.pace import PaceBook
+from bamboodeck.gateway.placement import Placer, Position
+from bamboodeck.gateway.routes import RouteTable
+from bamboodeck.gateway.sessions import SessionVersions
+from bamboodeck.gateway.waiting import WaitingRoom
+from bamboodeck.http.client import HttpClient
+from bamboodeck.logs import EventLog
+from bamboodeck.loop.program import Loop
+
+
+@dataclass(slots=True)
+class GatewayContext:
+    """Hold the loop, the log and what is known on this host."""
+
+    environment: Environment
+    settings: HostSettings
+    loop: Loop
+    client: HttpClient
+    log: EventLog
+    metrics: GatewayMetrics
+    engines: EngineBook
+    pace: PaceBook
+    placer: Placer
+    budget: RepeatBudget
+    waiting: WaitingRoom
+    sessions: SessionVersions
+    poison: PoisonGuard
+    configuration: GatewayConfiguration | None = None
+    routes: RouteTable | None = None
+    # When the store last confirmed what is known of the engines.
+    registry_heard_s: float = field(default=0.0)
+
+    def now_s(self) -> float:
+        """Read the monotonic clock in seconds."""
+        return self.loop.scheduler.now_s()
+
+    def apply_configuration(self, configuration: GatewayConfiguration) -> None:
+        """Put a configuration in force."""
+        self.configuration = configuration
+        self.routes = RouteTable(configuration)
+        for route in configuration.routes:
+            self.pace.learn_sizes(route.models)
+
+
+def build_context(
+    environment: Environment,
+    settings: HostSettings,
+    loop: Loop,
+    log: EventLog,
+) -> GatewayContext:
+    """Build what the requests of a host share."""
+    bounds = settings.bounds
+    engines = EngineBook()
+    pace = PaceBook()
+    position = Position(settings.zone, dict(settings.regions_by_zone))
+    return GatewayContext(
+        environment=environment,
+        settings=settings,
+        loop=loop,
+        client=HttpClient(loop),
+        log=log,
+        metrics=GatewayMetrics(),
+        engines=engines,
+        pace=pace,
+        placer=Placer(position, engines, pace, 2 * bounds.reuse_window_s),
+        budget=RepeatBudget(
+            bounds.repeat_ratio,
+            bounds.repeat_window_s,
+            bounds.repeat_slack,
+        ),
+        waiting=WaitingRoom(),
+        sessions=SessionVersions(bounds.session_s),
+        poison=PoisonGuard(),
+    )
--- /dev/null
+++ b/bamboodeck/gateway/engines.py
@@ -0,0 +1,199 @@
+"""Keep what this host knows of every engine: entry, load, failures, cache.
+
+Load pattern: many hosts place work on the same engines at the same moment.
+Each counts its own work at once and hears the others' with a delay.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from bamboodeck.gateway.model import (
+    EngineEntry,
+    EngineState,
+    Generation,
+    PromptPart,
+)
+
+# The share of the newest outcome in an engine's failure rate: about the last
+# eight requests count.
+FAILURE_WEIGHT = 0.12
+# A refused or silent engine is left alone at first as long as a crashed
+# process takes to come back, and at most three heartbeats.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 3.6
+# Parts of prompts that this host remembers to have sent, over all engines.
+MAX_REMEMBERED_PARTS = 50_000
+
+
+@dataclass(slots=True)
+class PeerLoad:
+    """Hold what another host has running on an engine."""
+
+    requests: int
+    work_ms: float
+    heard_s: float
+
+
+@dataclass(slots=True)
+class Engine:
+    """Hold what this host knows of one life of an engine."""
+
+    entry: EngineEntry
+    # Requests of this host that run there, and the reading still to be done.
+    requests: int = 0
+    work_ms: float = 0.0
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    failure_rate: float = 0.0
+    pauses: int = 0
+    paused_until_s: float = 0.0
+    heard_s: float = 0.0
+    # Set once the registry has said so; it doesn't change back in one life.
+    leaving: bool = False
+    unlisted: bool = False
+
+    def is_open(self, now_s: float) -> bool:
+        """Tell whether new work may go there."""
+        if self.leaving or self.unlisted:
+            return False
+        if now_s < self.paused_until_s:
+            return False
+        # After a pause one request at a time shows whether it is back.
+        return self.pauses == 0 or self.requests == 0
+
+    def total_requests(self, fresh_after_s: float) -> int:
+        """Return the requests of all hosts, as far as known."""
+        return self.requests + sum(
+            peer.requests
+            for peer in self.peers.values()
+            if peer.heard_s >= fresh_after_s
+        )
+
+    def total_work_ms(self, fresh_after_s: float) -> float:
+        """Return the reading to be done for all hosts, as far as known."""
+        return self.work_ms + sum(
+            peer.work_ms
+            for peer in self.peers.values()
+            if peer.heard_s >= fresh_after_s
+        )
+
+    def note_success(self, now_s: float) -> None:
+        """Learn that a request was answered."""
+        self.heard_s = now_s
+        self.pauses = 0
+        self.failure_rate *= 1 - FAILURE_WEIGHT
+
+    def note_failure(self) -> None:
+        """Learn that a request failed."""
+        self.failure_rate += (1 - self.failure_rate) * FAILURE_WEIGHT
+
+    def pause(self, now_s: float) -> float:
+        """Leave an engine alone that can't be reached; return the seconds."""
+        self.note_failure()
+        if now_s < self.paused_until_s:
+            return self.paused_until_s - now_s
+        pause_s = min(FIRST_PAUSE_S * 2**self.pauses, LONGEST_PAUSE_S)
+        self.pauses += 1
+        self.paused_until_s = now_s + pause_s
+        return pause_s
+
+
+class EngineBook:
+    """Hold all engines by their id, and the prompt parts sent to each."""
+
+    def __init__(self) -> None:
+        """Start without engines."""
+        self._engines: dict[str, Engine] = {}
+        self._parts: OrderedDict[tuple[str, str, str], float] = OrderedDict()
+
+    def __iter__(self) -> Iterator[Engine]:
+        """Yield every known engine."""
+        return iter(self._engines.values())
+
+    def find(self, engine_id: str) -> Engine | None:
+        """Return an engine by its id."""
+        return self._engines.get(engine_id)
+
+    def of_service(self, service: str) -> tuple[Engine, ...]:
+        """Return the engines of a service."""
+        return tuple(
+            engine
+            for engine in self._engines.values()
+            if engine.entry.service == service
+        )
+
+    def list(self, entry: EngineEntry) -> bool:
+        """Take an entry of the registry; tell whether anything changed.
+
+        An entry of an earlier life, or an earlier one of this life, may come
+        late and is ignored. A draining engine stays so in one life.
+        """
+        known = self._engines.get(entry.engine_id)
+        if known is None or _is_new_life(known.entry, entry):
+            engine = Engine(entry)
+            engine.leaving = entry.state is EngineState.DRAINING
+            self._engines[entry.engine_id] = engine
+            return True
+        if _is_older(known.entry, entry):
+            return False
+        changed = known.entry != entry or known.unlisted
+        known.entry = entry
+        known.unlisted = False
+        if entry.state is EngineState.DRAINING:
+            known.leaving = True
+        return changed
+
+    def unlist(self, engine_id: str) -> bool:
+        """Give no new work to an engine that isn't listed any more."""
+        engine = self._engines.get(engine_id)
+        if engine is None or engine.unlisted:
+            return False
+        engine.unlisted = True
+        return True
+
+    def remember_parts(
+        self,
+        engine_id: str,
+        model: str,
+        parts: Iterable[PromptPart],
+        now_s: float,
+    ) -> None:
+        """Note the parts that an engine now holds for a model."""
+        for part in parts:
+            key = (engine_id, model, part.part_id)
+            self._parts[key] = now_s
+            self._parts.move_to_end(key)
+        while len(self._parts) > MAX_REMEMBERED_PARTS:
+            self._parts.popitem(last=False)
+
+    def count_held_tokens(
+        self,
+        engine_id: str,
+        model: str,
+        generation: Generation,
+        since_s: float,
+    ) -> int:
+        """Return the prompt tokens that an engine likely holds already."""
+        held = 0
+        for part in generation.parts:
+            used_s = self._parts.get((engine_id, model, part.part_id))
+            if used_s is None or used_s < since_s:
+                break
+            held += part.tokens
+        return min(held, generation.prompt_tokens)
+
+    def forget_unlisted(self) -> None:
+        """Drop engines that are gone and run nothing any more."""
+        for engine_id, engine in tuple(self._engines.items()):
+            if engine.unlisted and engine.requests == 0:
+                self._engines.pop(engine_id)
+
+
+def _is_new_life(known: EngineEntry, entry: EngineEntry) -> bool:
+    return entry.started_unix_ms > known.started_unix_ms
+
+
+def _is_older(known: EngineEntry, entry: EngineEntry) -> bool:
+    if entry.started_unix_ms != known.started_unix_ms:
+        return entry.started_unix_ms < known.started_unix_ms
+    return entry.sequence < known.sequence
--- /dev/null
+++ b/bamboodeck/gateway/exchange.py
@@ -0,0 +1,433 @@
+"""Bring one caller's request to its end, over one or more engines."""
+
+from typing import Protocol
+
+from bamboodeck.gateway.attempt import Attempt
+from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.delivery import Delivery, build_delivery
+from bamboodeck.gateway.engines import Engine
+from bamboodeck.gateway.events import AttemptFailed, RequestEnded, RequestPlaced
+from bamboodeck.gateway.model import (
+    CallerRequest,
+    Customer,
+    EngineCall,
+    EngineHead,
+    Route,
+)
+from bamboodeck.gateway.placement import Offer
+from bamboodeck.gateway.ports import ExchangeCodec
+from bamboodeck.gateway.retrying import (
+    FailedAttempt,
+    FailureCause,
+    GiveUp,
+    TryAgain,
+    follow_failure,
+)
+from bamboodeck.http.messages import FailureKind, HttpFailed, ReplyHead
+from bamboodeck.http.relay_server import RelayExchange
+
+# A new connection takes a round trip and the engine's handshake: 45 ms between
+# regions, and a lost packet once more that.
+CONNECT_TIMEOUT_S = 0.4
+# Final answers go out this much before the caller or the route gives up.
+ANSWER_MARGIN_S = 0.03
+# A connection that an engine may be closing just now would lose a request that
+# can't be repeated, so those use only connections of a moment ago.
+UNSAFE_MAX_IDLE_S = 0.5
+# Shorter than engines usually keep idle connections.
+MAX_IDLE_S = 4.0
+
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+_MILLISECONDS_PER_S = 1000
+_MOST_URGENT = 1
+_LEAST_URGENT = 9
+
+
+class ExchangeOwner(Protocol):
+    """Place exchanges on engines and learn how they fare."""
+
+    context: GatewayContext
+    codec: ExchangeCodec
+
+    def place(self, exchange: 'Exchange') -> None:
+        """Send the exchange to an engine, or let it wait, or refuse it."""
+
+    def judge(
+        self,
+        exchange: 'Exchange',
+        attempt: Attempt,
+        head: EngineHead,
+    ) -> None:
+        """Keep an answer of which nothing has gone out, or run it again."""
+
+    def on_answered(self, exchange: 'Exchange', attempt: Attempt) -> None:
+        """Learn that an engine gave a whole answer."""
+
+    def on_unanswered(
+        self,
+        exchange: 'Exchange',
+        attempt: Attempt,
+        failure: HttpFailed,
+    ) -> None:
+        """Learn that an engine gave no whole answer."""
+
+    def on_ended(self, exchange: 'Exchange') -> None:
+        """Learn that the exchange has ended."""
+
+
+class Exchange:
+    """Hold one request, its attempts and what its caller has received."""
+
+    def __init__(
+        self,
+        owner: ExchangeOwner,
+        request: CallerRequest,
+        route: Route,
+        customer: Customer | None,
+        responder: RelayExchange,
+    ) -> None:
+        """Start the clock of the request."""
+        self.request = request
+        self.route = route
+        self.customer = customer
+        self.responder = responder
+        self.service = ''
+        self.model: str | None = None
+        self.version_key = request.session or request.request_id
+        self.fingerprint = ''
+        self.attempt: Attempt | None = None
+        self.attempts = 0
+        self.tried: set[str] = set()
+        self.maybe_run = False
+        self.offered = False
+        self.ended = False
+        self.last_event_id: str | None = None
+        self.context = owner.context
+        self._owner = owner
+        self._unreached = 0
+        self._first_s: float | None = None
+        self.sent_bytes = 0
+        patience_s = route.timeout_s
+        if request.patience_s is not None:
+            patience_s = min(patience_s, request.patience_s)
+        self.deadline_s = request.received_s + patience_s
+        self.delivery: Delivery = build_delivery(self)
+        responder.on_aborted = self._on_caller_gone
+        self._timer = self.context.loop.scheduler.call_after(
+            max(self.deadline_s - ANSWER_MARGIN_S - self.context.now_s(), 0),
+            self._on_deadline,
+        )
+
+    @property
+    def customer_name(self) -> str:
+        """Return the customer's name, or nothing on public routes."""
+        return '' if self.customer is None else self.customer.name
+
+    @property
+    def rank(self) -> int:
+        """Return how urgent the request is; 0 is first."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    @property
+    def attempts_left(self) -> int:
+        """Return to how many engines the request may still be sent."""
+        return self.route.max_attempts - self.attempts
+
+    def left_s(self) -> float:
+        """Return how long the caller still waits, in seconds."""
+        return self.deadline_s - self.context.now_s()
+
+    def target_left_ms(self) -> float:
+        """Return how long an answer is still on time, in milliseconds."""
+        target_s = self.request.received_s + self.route.target_latency_s
+        return (target_s - self.context.now_s()) * _MILLISECONDS_PER_S
+
+    def may_use(self, engine: Engine) -> bool:
+        """Tell whether the request may be sent to an engine."""
+        return engine.entry.engine_id not in self.tried
+
+    def send(self, offer: Offer, candidates: int) -> None:
+        """Send the request to an engine."""
+        now_s = self.context.now_s()
+        self._log_placed(offer, candidates, now_s)
+        attempt = Attempt(self, offer, self.model, now_s)
+        self.attempt = attempt
+        self.attempts += 1
+        self.offered = True
+        self.delivery.start_attempt()
+        resume_at = self.last_event_id
+        call = self._owner.codec.build_engine_call(
+            EngineCall(
+                engine=offer.engine.entry,
+                request=self.request,
+                customer=self.customer_name or None,
+                time_left_s=max(self.left_s() - ANSWER_MARGIN_S, 0.001),
+                engine_priority=self._engine_priority(),
+                model=self.model,
+                last_event_id=resume_at,
+            ),
+            CONNECT_TIMEOUT_S,
+        )
+        repeatable = self.route.repeatable
+        attempt.connection = self.context.client.stream(
+            call,
+            attempt,
+            max_idle_s=MAX_IDLE_S if repeatable else UNSAFE_MAX_IDLE_S,
+        )
+
+    def run_again(self, model: str) -> None:
+        """Drop an answer and run the request on another model."""
+        attempt = self.attempt
+        if attempt is not None:
+            attempt.cancel()
+            self.maybe_run = True
+        self.model = model
+        self.attempt = None
+        self.context.metrics.count('run_again')
+        self._owner.place(self)
+
+    def refuse(self, status: int, reason: str, retry_after_s: float) -> None:
+        """End a request that has not run and never will."""
+        headers = self._owner.codec.build_refusal_headers(
+            self.request.request_id,
+            retry_after_s,
+        )
+        self.finish(status, 'refused', reason)
+        self.responder.respond(status, headers, _render(reason))
+
+    def fail(self, status: int, reason: str) -> None:
+        """End a request that may have run, without its answer."""
+        if self.responder.begun:
+            self.finish(status, 'broken-off', reason)
+            self.responder.abort()
+            return
+        headers = self._owner.codec.build_refusal_headers(
+            self.request.request_id,
+            None,
+        )
+        self.finish(status, 'failed', reason)
+        self.responder.respond(status, headers, _render(reason))
+
+    def finish(self, status: int, outcome: str, reason: str = '') -> None:
+        """Take the exchange off all lists; the answer goes out now."""
+        if self.ended:
+            return
+        self.ended = True
+        self._timer.cancel()
+        if self.attempt is not None:
+            self.attempt.cancel()
+        now_s = self.context.now_s()
+        began_s = self.request.received_s
+        first_s = (self._first_s or now_s) - began_s
+        self.context.metrics.count_answer(self.route.name, outcome)
+        self.context.metrics.time_answer(first_s, now_s - began_s)
+        self.context.log.emit(
+            RequestEnded(
+                self.request.request_id,
+                self.route.name,
+                status,
+                outcome,
+                reason,
+                self.attempts,
+                first_s * _MILLISECONDS_PER_S,
+                (now_s - began_s) * _MILLISECONDS_PER_S,
+                self.sent_bytes,
+            ),
+        )
+        self._owner.on_ended(self)
+
+    def judge(self, attempt: Attempt, head: EngineHead) -> None:
+        """Have the head of an answer judged before any of it goes out."""
+        self._owner.judge(self, attempt, head)
+
+    def note_first_token(self, attempt: Attempt) -> None:
+        """Learn that an engine has read the prompt."""
+        now_s = self.context.now_s()
+        observed_ms = (now_s - attempt.began_s) * _MILLISECONDS_PER_S
+        if self.model is not None:
+            self.context.pace.correct(
+                self.model,
+                attempt.offer.first_token_ms,
+                observed_ms,
+            )
+        attempt.note_first(now_s)
+
+    def note_answered(self, attempt: Attempt) -> None:
+        """Learn that an engine gave a whole answer."""
+        self._owner.on_answered(self, attempt)
+
+    def note_first_byte(self) -> None:
+        """Note when the answer began."""
+        if self._first_s is None:
+            self._first_s = self.context.now_s()
+
+    def read_head(self, head: ReplyHead) -> EngineHead:
+        """Decode the head of an engine's answer."""
+        return self._owner.codec.decode_engine_head(head)
+
+    def on_attempt_head(self, attempt: Attempt) -> None:
+        """Judge the head of an answer."""
+        head = attempt.head
+        attempt.engine.heard_s = self.context.now_s()
+        own_id = self.request.request_id
+        if head.request_id is not None and head.request_id != own_id:
+            attempt.fail('answer of another request', FailureKind.MALFORMED)
+            return
+        if not head.not_run:
+            self.maybe_run = True
+        self.delivery.take_head(attempt, head)
+
+    def on_attempt_data(self, attempt: Attempt, chunk: bytes) -> None:
+        """Pass on the next bytes of the answer, or keep them."""
+        now_s = self.context.now_s()
+        attempt.heard_s = now_s
+        attempt.engine.heard_s = now_s
+        self.delivery.take_data(attempt, chunk)
+
+    def on_attempt_end(self, attempt: Attempt) -> None:
+        """Judge an answer that is whole."""
+        head = attempt.head
+        if head.not_run:
+            self.follow(attempt, FailureCause.NOT_RUN, 'rejected by engine')
+            return
+        self.delivery.take_end(attempt, head)
+
+    def on_attempt_failed(self, attempt: Attempt, failure: HttpFailed) -> None:
+        """Try another engine or end the request."""
+        self._owner.on_unanswered(self, attempt, failure)
+        head = attempt.head
+        if head is not None and head.not_run:
+            self.follow(attempt, FailureCause.NOT_RUN, failure.reason)
+        elif failure.maybe_started:
+            self.follow(attempt, FailureCause.BROKEN, failure.reason)
+        else:
+            self.follow(attempt, FailureCause.NOT_SENT, failure.reason)
+
+    def follow(
+        self,
+        attempt: Attempt,
+        cause: FailureCause,
+        reason: str,
+    ) -> None:
+        """Decide what follows a failed attempt, and do it."""
+        maybe_run_before = self.maybe_run
+        if cause is FailureCause.NOT_SENT:
+            self.attempts -= 1
+            self._unreached += 1
+        elif cause is not FailureCause.NOT_RUN:
+            self.maybe_run = True
+        self.tried.add(attempt.engine.entry.engine_id)
+        now_s = self.context.now_s()
+        sequel = follow_failure(
+            FailedAttempt(
+                cause=cause,
+                repeatable=self.route.repeatable,
+                maybe_run_before=maybe_run_before,
+                attempts=self.attempts,
+                max_attempts=self.route.max_attempts,
+                unreached=self._unreached,
+                left_s=self.left_s(),
+                budget_allows=self.context.budget.allows(self.service, now_s),
+            ),
+        )
+        self._log_failed(attempt, cause, reason, sequel)
+        self.attempt = None
+        match sequel:
+            case TryAgain():
+                self._owner.place(self)
+            case GiveUp(not_run=not_run, reason=why):
+                self._give_up(attempt, why, not_run=not_run)
+
+    def give_up_waiting(self, reason: str, retry_after_s: float) -> None:
+        """End a request for which there is no engine."""
+        if self.maybe_run:
+            self.fail(_BAD_GATEWAY, reason)
+        else:
+            self.refuse(_UNAVAILABLE, reason, retry_after_s)
+
+    def _give_up(self, attempt: Attempt, reason: str, *, not_run: bool) -> None:
+        if self.delivery.pass_on_failure(attempt):
+            return
+        if not_run:
+            self.refuse(_UNAVAILABLE, reason, self.retry_after_s())
+        else:
+            self.fail(_BAD_GATEWAY, reason)
+
+    def retry_after_s(self) -> float:
+        """Return when a refused caller should come back, in seconds."""
+        # Callers honour at most a third of their time; spread their returns.
+        random = self.context.environment.random.random()
+        return max(self.left_s(), 0.2) / 3 * (0.3 + 0.6 * random)
+
+    def _on_deadline(self) -> None:
+        if self.ended:
+            return
+        if self.responder.begun or self.maybe_run or self.attempt is not None:
+            self.fail(_GATEWAY_TIMEOUT, 'deadline')
+            return
+        self.refuse(_UNAVAILABLE, 'deadline while waiting', 0.0)
+
+    def _on_caller_gone(self) -> None:
+        self.finish(0, 'caller-gone')
+
+    def _engine_priority(self) -> int | None:
+        if self.request.generation is None:
+            return None
+        return min(_MOST_URGENT + self.rank, _LEAST_URGENT)
+
+    def _log_placed(self, offer: Offer, candidates: int, now_s: float) -> None:
+        entry = offer.engine.entry
+        configuration = self.context.configuration
+        self.context.log.emit(
+            RequestPlaced(
+                request_id=self.request.request_id,
+                route=self.route.name,
+                customer=self.customer_name,
+                service=self.service,
+                engine=entry.engine_id,
+                zone=entry.zone,
+                version=entry.version,
+                model=self.model or '',
+                attempt=self.attempts + 1,
+                predicted_ms=offer.first_token_ms,
+                cost_ms=offer.cost_ms,
+                candidates=candidates,
+                engine_requests=offer.engine.requests,
+                engine_work_ms=offer.engine.work_ms,
+                left_ms=self.left_s() * _MILLISECONDS_PER_S,
+                waited_ms=(now_s - self.request.received_s)
+                * _MILLISECONDS_PER_S,
+                configuration=configuration.version if configuration else 0,
+                registry_age_s=now_s - self.context.registry_heard_s,
+            ),
+        )
+
+    def _log_failed(
+        self,
+        attempt: Attempt,
+        cause: FailureCause,
+        reason: str,
+        sequel: TryAgain | GiveUp,
+    ) -> None:
+        self.context.metrics.count(f'attempt_{cause.value}')
+        now_s = self.context.now_s()
+        self.context.log.emit(
+            AttemptFailed(
+                self.request.request_id,
+                attempt.engine.entry.engine_id,
+                cause.value,
+                reason,
+                0 if attempt.head is None else attempt.head.status,
+                (now_s - attempt.began_s) * _MILLISECONDS_PER_S,
+                self.attempts,
+                'try-again' if isinstance(sequel, TryAgain) else sequel.reason,
+            ),
+        )
+
+
+def _render(reason: str) -> bytes:
+    return b'{"error": "%b"}' % reason.encode()
--- /dev/null
+++ b/bamboodeck/gateway/fingerprints.py
@@ -0,0 +1,67 @@
+"""Recognise requests that crash the engines that run them."""
+
+import xxhash
+
+from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.engines import Engine
+from bamboodeck.gateway.events import RequestSuspected
+from bamboodeck.gateway.model import CallerRequest
+
+# A crash shows as broken connections and then as refused ones within this.
+CRASH_WINDOW_S = 2.0
+
+
+def fingerprint_of(request: CallerRequest, customer: str) -> str:
+    """Return what a request has in common with its repetitions."""
+    digest = xxhash.xxh64(request.body)
+    head = f'{customer}\n{request.method}\n{request.host}{request.target}'
+    digest.update(head.encode())
+    return digest.hexdigest()
+
+
+class CrashWatch:
+    """Suspect what was running at an engine when it crashed."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        """Start without suspicion."""
+        self._context = context
+        self._broken: dict[str, list[tuple[float, str]]] = {}
+
+    def is_poison(self, fingerprint: str) -> bool:
+        """Tell whether a request has crashed engines before."""
+        now_s = self._context.environment.wall_s()
+        return self._context.poison.check(fingerprint, now_s) is not None
+
+    def note_answered(self, fingerprint: str, engine: Engine) -> None:
+        """Learn that a request has crashed nothing."""
+        self._context.poison.finish(
+            fingerprint,
+            engine.entry.engine_id,
+            self._context.environment.wall_s(),
+        )
+
+    def note_broken(self, fingerprint: str, engine: Engine) -> None:
+        """Remember a request whose connection broke while it ran."""
+        now_s = self._context.now_s()
+        broken = self._broken.setdefault(engine.entry.engine_id, [])
+        broken.append((now_s, fingerprint))
+        del broken[:-64]
+
+    def note_crash(self, engine: Engine) -> None:
+        """Suspect the requests that broke just before an engine was gone."""
+        engine_id = engine.entry.engine_id
+        since_s = self._context.now_s() - CRASH_WINDOW_S
+        suspects = {
+            fingerprint
+            for broken_s, fingerprint in self._broken.pop(engine_id, ())
+            if broken_s >= since_s
+        }
+        if not suspects:
+            return
+        for fingerprint in suspects:
+            self._context.poison.start(fingerprint, engine_id)
+        wall_s = self._context.environment.wall_s()
+        for report in self._context.poison.crash(engine_id, wall_s):
+            self._context.log.emit(
+                RequestSuspected(engine_id, report.fingerprint),
+            )
--- /dev/null
+++ b/bamboodeck/gateway/model.py
@@ -0,0 +1,266 @@
+"""Define what a gateway knows of routes, customers, engines and requests."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bamboodeck.http.messages import Address, Header
+from bamboodeck.http.relay_server import CallerLimits
+
+
+@enum.unique
+class RouteKind(enum.Enum):
+    """Tell what a route's requests allow."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'stream'
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """Name a service and its weight among the services of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe which requests go to which services, and how."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    priority: int
+    public: bool = False
+    resumable: bool = False
+    models: tuple[str, ...] = ()
+    max_gap_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        match self.kind:
+            case RouteKind.SAFE:
+                return True
+            case RouteKind.UNSAFE:
+                return False
+            case RouteKind.STREAM:
+                return self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class ModelPrice:
+    """Name a model and what 1,000 generated tokens cost."""
+
+    model: str
+    cost: float
+
+
+@dataclass(frozen=True, slots=True)
+class BatchLimits:
+    """Hold what one model engine can run at once."""
+
+    slots: int
+    memory_tokens: int
+    prices: tuple[ModelPrice, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Describe a service; `batch` is set if its servers are model engines."""
+
+    name: str
+    max_connections: int
+    batch: BatchLimits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """Name a customer; a priority of its own goes before the route's."""
+
+    name: str
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayConfiguration:
+    """Hold the routes, services and customers of one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    limits: CallerLimits
+    # Without customers no key is asked for.
+    customers_by_key: Mapping[str, Customer] | None = None
+
+
+@enum.unique
+class EngineState(enum.Enum):
+    """Tell whether an engine takes new work."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEntry:
+    """Hold what an engine says of itself in the registry."""
+
+    engine_id: str
+    service: str
+    address: Address
+    zone: str
+    version: str
+    slots: int
+    state: EngineState
+    # Counts the changes within one life of the engine.
+    sequence: int = 0
+    # When this life of the engine began, in Unix milliseconds.
+    started_unix_ms: int = 0
+    cold_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """Ask for a service's traffic to move to a version within a time."""
+
+    service: str
+    version: str
+    duration_s: float
+
+
+@enum.unique
+class RolloutState(enum.Enum):
+    """Tell how far a roll-out is."""
+
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    ROLLED_BACK = 'rolled_back'
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Tell operators how far the roll-out of a version is."""
+
+    version: str
+    state: RolloutState
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Name a part of a prompt that other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Generation:
+    """Hold what a request asks of a model engine.
+
+    `model` is None if the gateway chooses it.
+    """
+
+    model: str | None
+    prompt_tokens: int
+    max_output_tokens: int
+    parts: tuple[PromptPart, ...] = ()
+    expected_output_tokens: int | None = None
+    last_event_id: str | None = None
+
+    @property
+    def output_tokens(self) -> int:
+        """Return how many tokens will likely be generated."""
+        if self.expected_output_tokens is None:
+            return self.max_output_tokens
+        return min(self.expected_output_tokens, self.max_output_tokens)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold a request of a caller as the gateway sees it."""
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    path: str
+    body: bytes
+    # Headers that are passed on to a backend server as they are.
+    headers: tuple[Header, ...]
+    # How long the caller waits, in seconds; None if it doesn't say.
+    patience_s: float | None
+    api_key: str | None
+    session: str | None
+    generation: Generation | None
+    received_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """Ask one engine to run a request."""
+
+    engine: EngineEntry
+    request: CallerRequest
+    customer: str | None
+    time_left_s: float
+    engine_priority: int | None = None
+    model: str | None = None
+    last_event_id: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EngineHead:
+    """Hold the head of an engine's answer."""
+
+    status: int
+    # Headers that are passed on to the caller as they are.
+    headers: tuple[Header, ...] = ()
+    request_id: str | None = None
+    not_run: bool = False
+    stamped: bool = False
+    # The model's own opinion of its answer, from 0 to 100.
+    confidence: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Hold what the platform tells a host of itself."""
+
+    host: str
+    zone: str
+    region: str
+    regions_by_zone: Mapping[str, str]
+    callers_listen: Address
+    ready_listen: Address
+    peer_listen: Address
+    metrics_listen: Address
+    store: Address
+    max_descriptors: int
+    memory_mb: int
+    bounds: 'Bounds'
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the deployment's bounds that decisions keep to."""
+
+    drain_s: float = 2.5
+    grace_s: float = 8.0
+    heartbeat_s: float = 1.2
+    stability_s: float = 4.0
+    repeat_ratio: float = 0.9
+    repeat_window_s: float = 10.0
+    repeat_slack: float = 52.0
+    exposure_share: float = 0.15
+    exposure_slack: float = 30.0
+    rollback_s: float = 5.0
+    reuse_window_s: float = 7.0
+    session_s: float = 5.0
--- /dev/null
+++ b/bamboodeck/gateway/placement.py
@@ -0,0 +1,164 @@
+"""Choose the engine for a request.
+
+Load pattern: bursts and hot customers fill engines unevenly while every host
+acts on news that is a moment old. An engine is priced by the time until the
+first token: reading that is still to be done there by all hosts, its running
+batch, the part of the prompt that it doesn't hold yet, its distance, and its
+failures.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+from bamboodeck.gateway.engines import Engine, EngineBook
+from bamboodeck.gateway.model import CallerRequest, Generation
+from bamboodeck.gateway.pace import FIRST_STEP_MS, PaceBook
+
+# What one more running request adds to each step of an engine, and so to the
+# time until a first token, in milliseconds.
+STEP_MS_PER_REQUEST = 2.0
+# What a plain call adds to the wait behind it on one of its server's slots.
+CALL_MS = 45.0
+# Round trips to another zone, and to one in another region.
+ZONE_MS = 2.0
+REGION_MS = 40.0
+# Bytes between zones are paid for: a KB of body weighs like so much delay.
+REMOTE_MS_PER_KB = 12.0
+# A failed attempt costs about this much, besides its engine's time.
+FAILURE_MS = 600.0
+# Of equally good engines hosts prefer the same one for the same prompt, as
+# another host may have had it read there.
+AFFINITY_MS = 60.0
+# A larger fleet's news is older: about three times the period of the news.
+PEER_NEWS_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """Tell where a host is."""
+
+    zone: str
+    regions_by_zone: dict[str, str]
+
+    def distance_ms(self, zone: str) -> float:
+        """Return the round trip to a zone in milliseconds."""
+        if zone == self.zone:
+            return 0.0
+        own_region = self.regions_by_zone.get(self.zone)
+        if self.regions_by_zone.get(zone, zone) == own_region:
+            return ZONE_MS
+        return REGION_MS
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """Price an engine for a request: the cost decides, the wait is told."""
+
+    engine: Engine
+    cost_ms: float
+    first_token_ms: float
+    # Reading that the request adds there.
+    work_ms: float
+
+
+class Placer:
+    """Price engines by what is known now."""
+
+    def __init__(
+        self,
+        position: Position,
+        engines: EngineBook,
+        pace: PaceBook,
+        remember_s: float,
+    ) -> None:
+        """Keep where this host is, and how long engines hold parts."""
+        self._position = position
+        self._engines = engines
+        self._pace = pace
+        self._remember_s = remember_s
+
+    def choose(
+        self,
+        request: CallerRequest,
+        candidates: Iterable[Engine],
+        model: str | None,
+        now_s: float,
+    ) -> Offer | None:
+        """Return the cheapest engine for a model, or none."""
+        best: Offer | None = None
+        affinity = find_affinity(request.generation)
+        for engine in candidates:
+            offer = self._price(request, engine, model, now_s)
+            if affinity:
+                rank = rank_engine(affinity, engine.entry.engine_id)
+                offer = Offer(
+                    engine,
+                    offer.cost_ms + AFFINITY_MS * rank,
+                    offer.first_token_ms,
+                    offer.work_ms,
+                )
+            if best is None or offer.cost_ms < best.cost_ms:
+                best = offer
+        return best
+
+    def _price(
+        self,
+        request: CallerRequest,
+        engine: Engine,
+        model: str | None,
+        now_s: float,
+    ) -> Offer:
+        fresh_s = now_s - PEER_NEWS_S
+        running = engine.total_requests(fresh_s)
+        work_ms = 0.0
+        if request.generation is None or model is None:
+            ahead = max(running + 1 - engine.entry.slots, 0)
+            wait_ms = CALL_MS * (1 + ahead / engine.entry.slots)
+            wait_ms += running
+        else:
+            work_ms = self._reading_ms(request.generation, engine, model, now_s)
+            wait_ms = FIRST_STEP_MS + work_ms + engine.total_work_ms(fresh_s)
+            wait_ms += STEP_MS_PER_REQUEST * running
+        distance_ms = self._position.distance_ms(engine.entry.zone)
+        first_token_ms = wait_ms + distance_ms
+        cost_ms = first_token_ms + FAILURE_MS * engine.failure_rate
+        if distance_ms:
+            cost_ms += REMOTE_MS_PER_KB * len(request.body) / 1000
+        return Offer(engine, cost_ms, first_token_ms, work_ms)
+
+    def _reading_ms(
+        self,
+        generation: Generation,
+        engine: Engine,
+        model: str,
+        now_s: float,
+    ) -> float:
+        held = self._engines.count_held_tokens(
+            engine.entry.engine_id,
+            model,
+            generation,
+            now_s - self._remember_s,
+        )
+        unread = max(generation.prompt_tokens - held, 0)
+        return self._pace.reading_ms(model, unread)
+
+
+def find_affinity(generation: Generation | None) -> str:
+    """Return the part of a prompt by which requests are kept together."""
+    if generation is None or not generation.parts:
+        return ''
+    # The last part belongs to the request or to its session alone.
+    shared = generation.parts[:-1] or generation.parts
+    return shared[-1].part_id
+
+
+def rank_engine(affinity: str, engine_id: str) -> float:
+    """Return from 0 to 1 how little an engine suits a prompt part.
+
+    The order of engines is the same on every host and hardly changes when an
+    engine comes or goes.
+    """
+    digest = xxhash.xxh32_intdigest(f'{affinity}/{engine_id}'.encode())
+    return digest / 0xFFFFFFFF
--- /dev/null
+++ b/bamboodeck/gateway/ports.py
@@ -0,0 +1,258 @@
+"""Define what a gateway asks of the adapter to its platform."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from bamboodeck.gateway.model import (
+    CallerRequest,
+    EngineCall,
+    EngineEntry,
+    EngineHead,
+    GatewayConfiguration,
+    RolloutOrder,
+    RolloutStatus,
+)
+from bamboodeck.http.intake import ParsedRequest
+from bamboodeck.http.messages import Address, Header, HttpCall, ReplyHead
+
+
+class ExchangeCodec(Protocol):
+    """Translate between callers, the gateway and engines."""
+
+    def decode_request(
+        self,
+        parsed: ParsedRequest,
+        received_s: float,
+    ) -> CallerRequest:
+        """Read a caller's request."""
+
+    def build_engine_call(
+        self,
+        call: EngineCall,
+        connect_timeout_s: float,
+    ) -> HttpCall:
+        """Write a request as a call to one engine."""
+
+    def decode_engine_head(self, head: ReplyHead) -> EngineHead:
+        """Read the head of an engine's answer."""
+
+    def build_refusal_headers(
+        self,
+        request_id: str,
+        retry_after_s: float | None,
+    ) -> tuple[Header, ...]:
+        """Write the headers of an answer that the gateway gives itself."""
+
+    def is_ready_check(self, parsed: ParsedRequest) -> bool:
+        """Tell whether a request asks if the host takes callers."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationListed:
+    """Tell of the operators' newest configuration."""
+
+    configuration: GatewayConfiguration
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSeen:
+    """Tell of an engine's entry."""
+
+    entry: EngineEntry
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineUnlisted:
+    """Tell that an engine has no entry, or none that can be read."""
+
+    engine_id: str
+    reason: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrdered:
+    """Tell of an operator's order for a roll-out."""
+
+    order: RolloutOrder
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatusListed:
+    """Tell of the status of a service's roll-out."""
+
+    service: str
+    status: RolloutStatus
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStep:
+    """Hold how far a roll-out is, as the fleet has agreed."""
+
+    service: str
+    version: str
+    step: int
+    # When the roll-out began by the clock of the host that noticed it.
+    began_unix_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStepListed:
+    """Tell of the step that the fleet has agreed on."""
+
+    step: RolloutStep
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerListed:
+    """Tell where another host of the fleet listens for news."""
+
+    host: str
+    address: Address
+    zone: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnlisted:
+    """Tell that a host of the fleet is no longer listed."""
+
+    host: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """Tell of a document that can't be read."""
+
+    key: str
+    reason: str
+    revision: int
+
+
+Fact = (
+    ConfigurationListed
+    | EngineSeen
+    | EngineUnlisted
+    | RolloutOrdered
+    | RolloutStatusListed
+    | RolloutStepListed
+    | PeerListed
+    | PeerUnlisted
+    | Unreadable
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Hold all that the store lists, as of a revision."""
+
+    facts: tuple[Fact, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """Hold what has changed, up to a revision."""
+
+    facts: tuple[Fact, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """Tell that changes were missed, so all has to be read again."""
+
+
+@dataclass(frozen=True, slots=True)
+class RegistryFailed:
+    """Tell that the store gave no answer."""
+
+    reason: str
+
+
+RegistryReply = Snapshot | Update | HistoryLost | RegistryFailed
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """Tell that a write was made."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outdated:
+    """Tell that another host's write came first."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseLapsed:
+    """Tell that a host's lease has ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteFailed:
+    """Tell that no answer came; the write may still be made."""
+
+    reason: str
+
+
+WriteReply = Written | Outdated | LeaseLapsed | WriteFailed
+OnWritten = Callable[[WriteReply], None]
+
+
+class Registry(Protocol):
+    """Read and write what the fleet shares, without waiting."""
+
+    def read_all(self, on_reply: Callable[[RegistryReply], None]) -> None:
+        """Read all that is listed."""
+
+    def wait_for_changes(
+        self,
+        after_revision: int,
+        wait_s: float,
+        on_reply: Callable[[RegistryReply], None],
+    ) -> None:
+        """Wait for changes after a revision."""
+
+    def write_step(
+        self,
+        step: RolloutStep,
+        replaced_revision: int,
+        on_written: OnWritten,
+    ) -> None:
+        """Write a roll-out's step, unless another host's came first."""
+
+    def write_status(
+        self,
+        service: str,
+        status: RolloutStatus,
+        replaced_revision: int,
+        on_written: OnWritten,
+    ) -> None:
+        """Write a roll-out's status, unless another host's came first."""
+
+    def list_host(
+        self,
+        host: str,
+        zone: str,
+        address: Address,
+        lease_s: float,
+        on_written: OnWritten,
+    ) -> None:
+        """List this host for as long as its lease is renewed."""
+
+    def renew_host(self, on_written: OnWritten) -> None:
+        """Renew the lease of this host's entry."""
+
+
+def facts_of_kind(facts: Iterable[Fact], kind: type) -> Iterable[Fact]:
+    """Yield the facts of one kind."""
+    return (fact for fact in facts if isinstance(fact, kind))
--- /dev/null
+++ b/bamboodeck/gateway/rollout_guide.py
@@ -0,0 +1,340 @@
+"""Carry roll-outs out together with the other hosts, without a leader.
+
+Every host follows the same order and clock. Steps and states are written by
+compare-and-swap, so the first writer decides and the others read its word;
+each host waits for its turn before it writes, so that one write is the rule.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.engines import Engine
+from bamboodeck.gateway.events import (
+    RolloutJudged,
+    RolloutMoved,
+    RolloutSeen,
+    RolloutWritten,
+)
+from bamboodeck.gateway.model import RolloutOrder, RolloutState, RolloutStatus
+from bamboodeck.gateway.ports import (
+    Registry,
+    RolloutOrdered,
+    RolloutStatusListed,
+    RolloutStep,
+    RolloutStepListed,
+    WriteReply,
+    Written,
+)
+from bamboodeck.gateway.rollouts import (
+    AnswerCounts,
+    VersionChoice,
+    choose_version,
+    is_bad,
+    is_complete,
+    share_at,
+    step_due,
+)
+
+TICK_S = 0.25
+# The writes of two hosts are this far apart, so that the second has usually
+# heard of the first one's.
+TURN_S = 0.3
+MAX_TURNS = 10
+# Until a write without an answer is tried again.
+WRITE_AGAIN_S = 0.6
+
+_TERMINAL = frozenset((RolloutState.COMPLETED, RolloutState.ROLLED_BACK))
+
+
+@dataclass(slots=True)
+class Rollout:
+    """Hold the roll-out of one service as this host knows it."""
+
+    order: RolloutOrder
+    order_revision: int
+    began_unix_s: float
+    step: int = 0
+    step_revision: int = 0
+    step_version: str = ''
+    state: RolloutState | None = None
+    state_revision: int = 0
+    bad: bool = False
+    due_since_s: float | None = None
+    due: tuple[int, RolloutState | None] | None = None
+    written_s: float = 0.0
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the version was moved in or taken out."""
+        return self.state in _TERMINAL
+
+
+@dataclass(slots=True)
+class Evidence:
+    """Count answers by engine, of this host and of the others."""
+
+    own: dict[str, AnswerCounts] = field(default_factory=dict)
+    others: dict[str, dict[str, AnswerCounts]] = field(default_factory=dict)
+
+    def total(self, engine_ids: Iterable[str]) -> dict[str, AnswerCounts]:
+        """Return the counts of all hosts for some engines."""
+        sources = (self.own, *self.others.values())
+        summed = {}
+        for engine_id in engine_ids:
+            found = [
+                source[engine_id] for source in sources if engine_id in source
+            ]
+            if found:
+                summed[engine_id] = AnswerCounts(
+                    sum(counts.answers for counts in found),
+                    sum(counts.bad for counts in found),
+                )
+        return summed
+
+
+class RolloutGuide:
+    """Tell which version a request may use, and move roll-outs on."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        registry: Registry,
+        find_turn: Callable[[], int],
+    ) -> None:
+        """Keep who writes; `find_turn` tells this host's place among all."""
+        self.evidence = Evidence()
+        self._context = context
+        self._registry = registry
+        self._find_turn = find_turn
+        self._rollouts: dict[str, Rollout] = {}
+        self._statuses: dict[str, RolloutStatusListed] = {}
+        self._steps: dict[str, RolloutStepListed] = {}
+        context.loop.scheduler.call_every(TICK_S, self._tick)
+
+    @property
+    def running(self) -> bool:
+        """Tell whether any roll-out is under way."""
+        return any(not rollout.ended for rollout in self._rollouts.values())
+
+    def take_order(self, fact: RolloutOrdered) -> None:
+        """Follow an operator's order."""
+        order = fact.order
+        known = self._rollouts.get(order.service)
+        if known is not None and known.order_revision >= fact.revision:
+            return
+        self._context.log.emit(
+            RolloutSeen(
+                order.service,
+                order.version,
+                order.duration_s,
+                fact.revision,
+            ),
+        )
+        self.evidence = Evidence()
+        self._rollouts[order.service] = Rollout(
+            order,
+            fact.revision,
+            self._context.environment.wall_s(),
+        )
+        if order.service in self._steps:
+            self.take_step(self._steps[order.service])
+        if order.service in self._statuses:
+            self.take_status(self._statuses[order.service])
+
+    def take_status(self, fact: RolloutStatusListed) -> None:
+        """Follow the state that some host has written."""
+        self._statuses[fact.service] = fact
+        rollout = self._rollouts.get(fact.service)
+        if rollout is None or fact.revision <= rollout.state_revision:
+            return
+        rollout.state_revision = fact.revision
+        # An older status speaks of an earlier order.
+        if fact.revision < rollout.order_revision:
+            return
+        if fact.status.version != rollout.order.version:
+            return
+        if not rollout.ended:
+            rollout.state = fact.status.state
+        self._log_moved(rollout, fact.revision)
+
+    def take_step(self, fact: RolloutStepListed) -> None:
+        """Follow the step that some host has written."""
+        service = fact.step.service
+        self._steps[service] = fact
+        rollout = self._rollouts.get(service)
+        if rollout is None or fact.revision <= rollout.step_revision:
+            return
+        rollout.step_revision = fact.revision
+        if fact.revision < rollout.order_revision:
+            return
+        if fact.step.version != rollout.order.version:
+            return
+        rollout.step = max(rollout.step, fact.step.step)
+        rollout.began_unix_s = fact.step.began_unix_s
+        self._log_moved(rollout, fact.revision)
+
+    def choose(
+        self,
+        service: str,
+        key: str,
+        pinned: str | None,
+    ) -> VersionChoice:
+        """Tell which versions a request may use."""
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return VersionChoice(only=pinned)
+        target = rollout.order.version
+        if rollout.bad or rollout.state is RolloutState.ROLLED_BACK:
+            return VersionChoice(excluded=target, strict=True)
+        if rollout.state is RolloutState.COMPLETED:
+            return VersionChoice(only=target)
+        return choose_version(
+            target,
+            share=share_at(rollout.step),
+            key=key,
+            pinned=pinned,
+            may_change_over=rollout.step > 0,
+        )
+
+    def note_answer(self, engine: Engine, *, bad: bool) -> None:
+        """Count an answer as evidence while a roll-out is under way."""
+        rollout = self._rollouts.get(engine.entry.service)
+        if rollout is None or rollout.ended:
+            return
+        engine_id = engine.entry.engine_id
+        counts = self.evidence.own.get(engine_id, AnswerCounts())
+        self.evidence.own[engine_id] = AnswerCounts(
+            counts.answers + 1,
+            counts.bad + bad,
+        )
+        if bad:
+            self._judge(rollout)
+
+    def merge(self, host: str, counts: dict[str, AnswerCounts]) -> None:
+        """Take what another host has counted since the order."""
+        self.evidence.others[host] = counts
+        for rollout in self._rollouts.values():
+            self._judge(rollout)
+
+    def _judge(self, rollout: Rollout) -> None:
+        if rollout.bad or rollout.ended:
+            return
+        new_ids = []
+        old_ids = []
+        for engine in self._context.engines.of_service(rollout.order.service):
+            is_new = engine.entry.version == rollout.order.version
+            ids = new_ids if is_new else old_ids
+            ids.append(engine.entry.engine_id)
+        new = self.evidence.total(new_ids)
+        old = self.evidence.total(old_ids)
+        if not is_bad(new, old):
+            return
+        rollout.bad = True
+        self._context.metrics.count('version_judged_bad')
+        self._context.log.warn(
+            RolloutJudged(
+                rollout.order.service,
+                rollout.order.version,
+                sum(counts.answers for counts in new.values()),
+                sum(counts.bad for counts in new.values()),
+                sum(counts.answers for counts in old.values()),
+                sum(counts.bad for counts in old.values()),
+            ),
+        )
+
+    def _tick(self) -> None:
+        for rollout in self._rollouts.values():
+            if not rollout.ended:
+                self._move(rollout)
+
+    def _move(self, rollout: Rollout) -> None:
+        now_s = self._context.now_s()
+        due = self._find_due(rollout)
+        if due is None or due != rollout.due:
+            rollout.due = due
+            rollout.due_since_s = now_s
+            if due is None:
+                return
+        turn = min(self._find_turn(), MAX_TURNS)
+        if now_s - rollout.due_since_s < turn * TURN_S:
+            return
+        if now_s - rollout.written_s < WRITE_AGAIN_S:
+            return
+        rollout.written_s = now_s
+        self._write(rollout, *due)
+
+    def _find_due(
+        self,
+        rollout: Rollout,
+    ) -> tuple[int, RolloutState | None] | None:
+        if rollout.bad:
+            return (rollout.step, RolloutState.ROLLED_BACK)
+        if rollout.state is None:
+            return (rollout.step, RolloutState.RUNNING)
+        elapsed_s = self._context.environment.wall_s() - rollout.began_unix_s
+        duration_s = rollout.order.duration_s
+        if is_complete(rollout.step, elapsed_s, duration_s):
+            return (rollout.step, RolloutState.COMPLETED)
+        unwritten = rollout.step_revision < rollout.order_revision
+        step = min(step_due(elapsed_s, duration_s), rollout.step + 1)
+        if step > rollout.step or unwritten:
+            return (step, None)
+        return None
+
+    def _write(
+        self,
+        rollout: Rollout,
+        step: int,
+        state: RolloutState | None,
+    ) -> None:
+        order = rollout.order
+
+        def on_written(reply: WriteReply) -> None:
+            self._context.log.emit(
+                RolloutWritten(
+                    order.service,
+                    order.version,
+                    step,
+                    '' if state is None else state.value,
+                    type(reply).__name__,
+                ),
+            )
+            if isinstance(reply, Written) and state is not None:
+                self.take_status(
+                    RolloutStatusListed(
+                        order.service,
+                        RolloutStatus(order.version, state),
+                        reply.revision,
+                    ),
+                )
+
+        if state is not None:
+            self._registry.write_status(
+                order.service,
+                RolloutStatus(order.version, state),
+                rollout.state_revision,
+                on_written,
+            )
+            return
+        self._registry.write_step(
+            RolloutStep(
+                order.service,
+                order.version,
+                step,
+                rollout.began_unix_s,
+            ),
+            rollout.step_revision,
+            on_written,
+        )
+
+    def _log_moved(self, rollout: Rollout, revision: int) -> None:
+        self._context.log.emit(
+            RolloutMoved(
+                rollout.order.service,
+                rollout.order.version,
+                rollout.step,
+                '' if rollout.state is None else rollout.state.value,
+                revision,
+            ),
+        )
--- /dev/null
+++ b/bamboodeck/gateway/routes.py
@@ -0,0 +1,65 @@
+"""Find the route and the customer of a request."""
+
+from dataclasses import dataclass
+
+from bamboodeck.gateway.model import (
+    CallerRequest,
+    Customer,
+    GatewayConfiguration,
+    Route,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Resolved:
+    """Tell which route a request takes, for which customer."""
+
+    route: Route
+    customer: Customer | None
+
+
+@dataclass(frozen=True, slots=True)
+class NoRoute:
+    """Tell that no route fits the host and path."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownKey:
+    """Tell that the route asks for a key, and the request's isn't known."""
+
+
+Resolution = Resolved | NoRoute | UnknownKey
+
+
+class RouteTable:
+    """Hold the routes of one configuration by host and prefix."""
+
+    def __init__(self, configuration: GatewayConfiguration) -> None:
+        """Index the routes."""
+        self.version = configuration.version
+        self._customers = configuration.customers_by_key
+        self._routes: dict[tuple[str, str], Route] = {
+            (route.host, route.prefix): route for route in configuration.routes
+        }
+
+    def resolve(self, request: CallerRequest) -> Resolution:
+        """Return the longest fitting route, and the customer of the key."""
+        route = self._find(request.host, request.path)
+        if route is None:
+            return NoRoute()
+        if route.public or self._customers is None:
+            return Resolved(route, None)
+        customer = self._customers.get(request.api_key or '')
+        if customer is None:
+            return UnknownKey()
+        return Resolved(route, customer)
+
+    def _find(self, host: str, path: str) -> Route | None:
+        # Every prefix ends with a slash, so only cuts behind one can fit.
+        end = path.rfind('/')
+        while end >= 0:
+            route = self._routes.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
--- /dev/null
+++ b/bamboodeck/gateway/streams.py
@@ -0,0 +1,49 @@
+"""Cut an engine's event stream into whole events."""
+
+import re
+from dataclasses import dataclass
+
+MAX_EVENT_BYTES = 1_048_576
+_SEPARATOR = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_ID_LINE = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
+
+
+class EventTooLargeError(Exception):
+    """Report an event without an end."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """Hold the bytes of one event, with its end, and its id if it has one."""
+
+    content: bytes
+    event_id: str | None
+
+
+class EventSplitter:
+    """Collect bytes until an event is whole."""
+
+    def __init__(self) -> None:
+        """Start between two events."""
+        self._rest = b''
+
+    @property
+    def rest(self) -> bytes:
+        """Return the bytes of an event that isn't whole."""
+        return self._rest
+
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Return the events that are whole now; raise `EventTooLargeError`."""
+        pending = self._rest + chunk
+        events = []
+        begin = 0
+        for separator in _SEPARATOR.finditer(pending):
+            content = pending[begin : separator.end()]
+            begin = separator.end()
+            found = _ID_LINE.search(content)
+            event_id = found.group(1).decode('latin-1') if found else None
+            events.append(StreamEvent(content, event_id))
+        self._rest = pending[begin:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLargeError
+        return events
--- a/bamboodeck/http/client_connection.py
+++ b/bamboodeck/http/client_connection.py
@@ -6,6 +6,7 @@
 
 from bamboodeck.http.messages import (
     Address,
+    FailureKind,
     HttpCall,
     HttpFailed,
     StreamSink,
@@ -18,6 +19,13 @@
 
 RECEIVE_SIZE_BYTES = 65_536
 
+# A host without power or behind a partition answers nothing. Its silence is
+# noticed in about two seconds, half of what callers wait between two events.
+UNACKNOWLEDGED_MS = 1500
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_PERIOD_S = 1
+KEEP_ALIVE_PROBES = 2
+
 
 class ConnectionPool(Protocol):
     """Keep connections between their exchanges."""
@@ -49,9 +57,11 @@
         self._paused = False
         self._closed = False
         self._heard_s = 0.0
+        self.idle_since_s = 0.0
+        self.calls = 0
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setblocking(False)
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _bound_silence(self._sock)
         self._connecting = True
         status = self._sock.connect_ex((address.host, address.port))
         self._broken = status not in {0, errno.EINPROGRESS}
@@ -68,12 +78,18 @@
         self._parser = ReplyParser()
         self._outgoing = build_request_bytes(call)
         self._sent_any = False
+        self.calls += 1
         self._timeout_s = call.timeout_s
         self._heard_s = self._loop.scheduler.now_s()
         self._timer = self._loop.scheduler.call_after(
             call.timeout_s,
             self._check_timeout,
         )
+        if self._connecting and call.connect_timeout_s is not None:
+            self._loop.scheduler.call_after(
+                call.connect_timeout_s,
+                self._check_connected,
+            )
         if self._broken:
             self._loop.scheduler.call_after(0, self._fail_to_connect)
             return
@@ -115,7 +131,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self._fail(f'sending failed: {error.strerror}')
+            self._fail(f'sending failed: {error.strerror}', _kind_of(error))
             return
         self._sent_any = self._sent_any or sent > 0
         self._outgoing = self._outgoing[sent:]
@@ -129,7 +145,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self._fail(f'receiving failed: {error.strerror}')
+            self._fail(f'receiving failed: {error.strerror}', _kind_of(error))
             return
         if self.idle or not chunk:
             self._take_end()
@@ -143,7 +159,7 @@
         try:
             body = parser.feed(chunk)
         except ReplySyntaxError as error:
-            self._fail(str(error))
+            self._fail(str(error), FailureKind.MALFORMED)
             return
         if first and parser.head is not None and self._sink is not None:
             self._sink.on_head(parser.head)
@@ -151,9 +167,10 @@
             try:
                 self._sink.on_data(body)
             except ReplyTooLargeError as error:
-                self._fail(str(error))
+                self._fail(str(error), FailureKind.MALFORMED)
         if parser.whole:
-            self._finish(reusable=parser.keep_alive)
+            reusable = parser.keep_alive and not parser.surplus
+            self._finish(reusable=reusable)
 
     def _take_end(self) -> None:
         if self._sink is None:
@@ -170,6 +187,7 @@
         self._cancel_timer()
         if reusable and not self._outgoing and not self._closed:
             self._paused = False
+            self.idle_since_s = self._loop.scheduler.now_s()
             self._pool.release(self)
             self._update_interest()
         else:
@@ -187,17 +205,28 @@
                 self._check_timeout,
             )
             return
-        self._fail(f'no answer within {self._timeout_s} s')
+        self._fail(
+            f'no answer within {self._timeout_s} s',
+            FailureKind.SILENT,
+        )
+
+    def _check_connected(self) -> None:
+        if self._connecting and not self._closed:
+            self._fail('no connection in time', FailureKind.SILENT)
 
     def _fail_to_connect(self) -> None:
-        self._fail('connection refused')
+        self._fail('connection refused', FailureKind.REFUSED)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(
+        self,
+        reason: str,
+        kind: FailureKind = FailureKind.BROKEN,
+    ) -> None:
         sink = self._sink
         self._sink = None
         self._close()
         if sink is not None:
-            sink.on_failed(HttpFailed(reason, self._sent_any))
+            sink.on_failed(HttpFailed(reason, self._sent_any, kind))
 
     def _close(self) -> None:
         if self._closed:
@@ -223,11 +252,29 @@
         )
 
 
+def _bound_silence(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_PERIOD_S),
+        (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, setting)
+
+
+def _kind_of(error: OSError) -> FailureKind:
+    if error.errno in {errno.ETIMEDOUT, errno.EHOSTUNREACH}:
+        return FailureKind.SILENT
+    return FailureKind.BROKEN
+
+
 def build_request_bytes(call: HttpCall) -> bytes:
     """Write a call as HTTP/1.1."""
     lines = [
         f'{call.method} {call.path} HTTP/1.1',
-        f'Host: {call.address}',
+        f'Host: {call.host or call.address}',
         f'Content-Length: {len(call.body)}',
     ]
     lines.extend(f'{header.name}: {header.text}' for header in call.headers)
--- a/bamboodeck/http/intake.py
+++ b/bamboodeck/http/intake.py
@@ -38,15 +38,21 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     keep_alive: bool
+    target: str = ''
 
 
 class RequestIntake:
     """Collect the requests of one connection."""
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int,
+        max_header_bytes: int = MAX_HEADER_BYTES,
+    ) -> None:
         """Start before the first request."""
         self.ready: list[ParsedRequest] = []
         self._max_body_bytes = max_body_bytes
+        self._max_header_bytes = max_header_bytes
         self._parser = httptools.HttpRequestParser(self)
         self._in_request = False
         self._reset()
@@ -56,6 +62,11 @@
         """Tell whether a request has begun but isn't whole."""
         return self._in_request
 
+    @property
+    def waiting_for_head(self) -> bool:
+        """Tell whether a request has begun whose headers aren't whole."""
+        return self._in_request and not self._head_done
+
     def feed(self, chunk: bytes) -> list[ParsedRequest]:
         """Return the requests that are whole now; raise `BadRequestError`."""
         try:
@@ -92,11 +103,8 @@
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collect a header."""
         self._header_bytes += len(name) + len(text)
-        if self._header_bytes > MAX_HEADER_BYTES:
-            raise BadRequestError(
-                _HEADERS_TOO_LARGE,
-                f'headers are larger than {MAX_HEADER_BYTES} bytes',
-            )
+        if self._header_bytes > self._max_header_bytes:
+            raise self._headers_too_large()
         self._headers.append(
             (name.decode('latin-1').lower(), text.decode('latin-1')),
         )
@@ -117,7 +125,8 @@
     def on_message_complete(self) -> None:
         """Hand over the whole request."""
         self._in_request = False
-        path, _, query = self._url.decode('latin-1').partition('?')
+        target = self._url.decode('latin-1')
+        path, _, query = target.partition('?')
         self.ready.append(
             ParsedRequest(
                 method=self._parser.get_method().decode('ascii'),
@@ -127,6 +136,7 @@
                 headers=tuple(self._headers),
                 body=b''.join(self._body),
                 keep_alive=self._parser.should_keep_alive(),
+                target=target,
             ),
         )
 
@@ -141,11 +151,8 @@
 
     def _count_head(self, size_bytes: int) -> None:
         self._head_fed_bytes += size_bytes
-        if self._head_fed_bytes > MAX_HEADER_BYTES + MAX_URL_BYTES:
-            raise BadRequestError(
-                _HEADERS_TOO_LARGE,
-                f'headers are larger than {MAX_HEADER_BYTES} bytes',
-            )
+        if self._head_fed_bytes > self._max_header_bytes + MAX_URL_BYTES:
+            raise self._headers_too_large()
 
     def _check_host(self) -> None:
         hosts = sum(name == 'host' for name, _ in self._headers)
@@ -163,6 +170,12 @@
         if lengths and int(lengths[0]) > self._max_body_bytes:
             raise self._too_large()
 
+    def _headers_too_large(self) -> BadRequestError:
+        return BadRequestError(
+            _HEADERS_TOO_LARGE,
+            f'headers are larger than {self._max_header_bytes} bytes',
+        )
+
     def _too_large(self) -> BadRequestError:
         return BadRequestError(
             _TOO_LARGE,
--- a/bamboodeck/http/messages.py
+++ b/bamboodeck/http/messages.py
@@ -1,5 +1,6 @@
 """Define the messages of the HTTP client and server."""
 
+import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
@@ -61,6 +62,9 @@
     body: bytes = b''
     headers: tuple[Header, ...] = ()
     timeout_s: float = 5.0
+    connect_timeout_s: float | None = None
+    # What the peer is called in the request; its address, if empty.
+    host: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +76,17 @@
     body: bytes
 
 
+@enum.unique
+class FailureKind(enum.Enum):
+    """Tell how a call ended without a whole answer."""
+
+    REFUSED = 'refused'
+    SILENT = 'silent'
+    BROKEN = 'broken'
+    MALFORMED = 'malformed'
+    LATE = 'late'
+
+
 @dataclass(frozen=True, slots=True)
 class HttpFailed:
     """Tell that no whole answer came, and whether the peer may have started.
@@ -81,6 +96,7 @@
 
     reason: str
     maybe_started: bool
+    kind: FailureKind = FailureKind.BROKEN
 
 
 HttpOutcome = HttpReply | HttpFailed
--- /dev/null
+++ b/bamboodeck/http/relay_server.py
@@ -0,0 +1,332 @@
+"""Serve opaque HTTP exchanges: any method, raw targets, pushed bodies.
+
+Beside `HttpServer`, which hands circuits.web's requests to the chat and the
+administration interface, this one leaves heads and bodies as they are.
+"""
+
+import socket
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from bamboodeck.http.connection import Connection
+from bamboodeck.http.intake import (
+    MAX_PIPELINED_BYTES,
+    BadRequestError,
+    ParsedRequest,
+    RequestIntake,
+)
+from bamboodeck.http.messages import Address, Header
+from bamboodeck.loop.program import Loop
+
+# Longer than the burst of new connections when a neighbour is restarted.
+LISTEN_BACKLOG = 1024
+# Bounds one turn of the loop while many callers connect at once.
+MAX_ACCEPTS_PER_TURN = 64
+# A quarter of the shortest limit that a configuration may sensibly set.
+SWEEP_PERIOD_S = 0.25
+
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bound what a caller may send, and how slowly."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
+class RelayExchange:
+    """Answer one request, whole or piece by piece."""
+
+    def __init__(self, client: '_Client', request: ParsedRequest) -> None:
+        """Start before the answer's head."""
+        self.on_aborted: Callable[[], None] | None = None
+        self.close_after = not request.keep_alive
+        self.begun = False
+        self.done = False
+        self._client = client
+        self._chunked = False
+        self._without_body = request.method == 'HEAD'
+        self._speaks_chunks = request.version == '1.1'
+
+    @property
+    def congested(self) -> bool:
+        """Tell whether the caller reads too slowly just now."""
+        return self._client.connection.congested
+
+    def respond(
+        self,
+        status: int,
+        headers: Iterable[Header] = (),
+        body: bytes = b'',
+    ) -> None:
+        """Send a whole answer."""
+        if self.done:
+            return
+        self.begun = True
+        length = Header('Content-Length', str(len(body)))
+        if status in _BODILESS_STATUSES:
+            self._write_head(status, headers)
+        else:
+            self._write_head(status, (*headers, length))
+            if not self._without_body:
+                self._client.connection.write(body)
+        self._finish()
+
+    def start(self, status: int, headers: Iterable[Header]) -> None:
+        """Send the head of an answer whose body is pushed with `send`."""
+        if self.done:
+            return
+        self.begun = True
+        self._chunked = self._speaks_chunks
+        if self._chunked:
+            headers = (*headers, Header('Transfer-Encoding', 'chunked'))
+        else:
+            self.close_after = True
+        self._write_head(status, headers)
+
+    def send(self, chunk: bytes) -> None:
+        """Push the next bytes of the body."""
+        if self.done or not chunk:
+            return
+        if self._chunked:
+            chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
+        self._client.connection.write(chunk)
+
+    def end(self) -> None:
+        """Finish a pushed body that is whole."""
+        if self.done:
+            return
+        if self._chunked:
+            self._client.connection.write(b'0\r\n\r\n')
+        self._finish()
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer can't seem whole."""
+        if self.done:
+            return
+        self.done = True
+        self.on_aborted = None
+        self._client.connection.abort()
+
+    def on_drained(self, callback: Callable[[], None] | None) -> None:
+        """Call a function each time the caller has caught up."""
+        self._client.connection.on_drained = callback
+
+    def notice_closed(self) -> None:
+        """Learn that the caller has gone."""
+        if self.done:
+            return
+        self.done = True
+        if self.on_aborted is not None:
+            self.on_aborted()
+
+    def _write_head(self, status: int, headers: Iterable[Header]) -> None:
+        if self._client.server.stopping:
+            self.close_after = True
+        lines = [f'HTTP/1.1 {status} {_phrase(status)}']
+        lines.extend(f'{header.name}: {header.text}' for header in headers)
+        if self.close_after:
+            lines.append('Connection: close')
+        head = '\r\n'.join(lines)
+        self._client.connection.write(f'{head}\r\n\r\n'.encode('latin-1'))
+
+    def _finish(self) -> None:
+        self.done = True
+        self._client.connection.on_drained = None
+        self._client.server.finish_exchange(
+            self._client,
+            close=self.close_after,
+        )
+
+
+class _Client:
+    __slots__ = (
+        'connection',
+        'exchange',
+        'intake',
+        'queue',
+        'server',
+        'heard_s',
+    )
+
+    def __init__(self, server: 'RelayServer', now_s: float) -> None:
+        self.connection: Connection
+        self.server = server
+        self.exchange: RelayExchange | None = None
+        self.intake = RequestIntake(
+            server.limits.max_body_bytes,
+            server.limits.max_header_bytes,
+        )
+        self.queue: deque[ParsedRequest] = deque()
+        self.heard_s = now_s
+
+
+RelayHandler = Callable[[ParsedRequest, RelayExchange], None]
+
+
+class RelayServer:
+    """Listen on an address and hand whole requests to a function."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        on_request: RelayHandler,
+        *,
+        max_connections: int,
+    ) -> None:
+        """Listen; port 0 takes a free port."""
+        self.limits = CallerLimits()
+        self.stopping = False
+        self.connections: dict[Connection, _Client] = {}
+        self._loop = loop
+        self._on_request = on_request
+        self._max_connections = max_connections
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind((address.host, address.port))
+        self._sock.listen(LISTEN_BACKLOG)
+        self._sock.setblocking(False)
+        self.address = Address(address.host, self._sock.getsockname()[1])
+        self._watch = loop.poller.watch(
+            self._sock.fileno(),
+            self._accept,
+            _ignore,
+        )
+        self._listening = True
+        loop.scheduler.call_every(SWEEP_PERIOD_S, self._sweep)
+
+    @property
+    def active_count(self) -> int:
+        """Return the number of requests that are being answered."""
+        return sum(
+            client.exchange is not None for client in self.connections.values()
+        )
+
+    def stop_accepting(self) -> None:
+        """Take no new connection and close each after its answer."""
+        self.stopping = True
+        if self._listening:
+            self._listening = False
+            self._loop.poller.unwatch(self._watch)
+            self._sock.close()
+        for client in list(self.connections.values()):
+            busy = client.exchange is not None or client.queue
+            if not busy and not client.intake.waiting_for_rest:
+                client.connection.close()
+
+    def finish_exchange(self, client: _Client, *, close: bool) -> None:
+        """Go on with the next request of the connection."""
+        client.exchange = None
+        client.heard_s = self._loop.scheduler.now_s()
+        if close:
+            client.connection.close()
+            return
+        if client.connection.closed:
+            return
+        client.connection.set_reading(reading=True)
+        self._serve_next(client)
+
+    def _accept(self) -> None:
+        for _ in range(MAX_ACCEPTS_PER_TURN):
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                # None waits, or the caller has reset it already.
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._adopt(sock)
+
+    def _adopt(self, sock: socket.socket) -> None:
+        if len(self.connections) >= self._max_connections:
+            sock.close()
+            return
+        client = _Client(self, self._loop.scheduler.now_s())
+        client.connection = Connection(
+            sock,
+            self._loop.poller,
+            self._take,
+            self._drop,
+        )
+        self.connections[client.connection] = client
+
+    def _take(self, connection: Connection, chunk: bytes) -> None:
+        client = self.connections[connection]
+        if not client.intake.waiting_for_head:
+            client.heard_s = self._loop.scheduler.now_s()
+        try:
+            client.queue.extend(client.intake.feed(chunk))
+        except BadRequestError as error:
+            self._refuse(client, error)
+            return
+        queued_bytes = sum(len(each.body) for each in client.queue)
+        if client.exchange is not None and queued_bytes > MAX_PIPELINED_BYTES:
+            connection.set_reading(reading=False)
+        self._serve_next(client)
+
+    def _serve_next(self, client: _Client) -> None:
+        while client.exchange is None and client.queue:
+            request = client.queue.popleft()
+            exchange = RelayExchange(client, request)
+            client.exchange = exchange
+            try:
+                self._on_request(request, exchange)
+            except Exception:
+                # The caller gets an answer; the loop logs the failure.
+                self._fail(exchange)
+                raise
+
+    def _fail(self, exchange: RelayExchange) -> None:
+        if exchange.begun:
+            exchange.abort()
+        else:
+            exchange.respond(HTTPStatus.INTERNAL_SERVER_ERROR)
+
+    def _refuse(self, client: _Client, error: BadRequestError) -> None:
+        if client.exchange is not None:
+            client.connection.abort()
+            return
+        body = str(error).encode()
+        client.connection.write(
+            b'HTTP/1.1 %d %b\r\nContent-Length: %d\r\nConnection: close\r\n'
+            b'\r\n%b'
+            % (error.status, _phrase(error.status).encode(), len(body), body),
+        )
+        client.connection.close()
+
+    def _sweep(self) -> None:
+        now_s = self._loop.scheduler.now_s()
+        for client in list(self.connections.values()):
+            if client.exchange is not None:
+                continue
+            quiet_s = now_s - client.heard_s
+            if client.intake.waiting_for_head:
+                if quiet_s > self.limits.header_timeout_s:
+                    timeout = HTTPStatus.REQUEST_TIMEOUT
+                    self._refuse(client, BadRequestError(timeout, 'too slow'))
+            elif quiet_s > self.limits.idle_timeout_s:
+                client.connection.close()
+
+    def _drop(self, connection: Connection) -> None:
+        client = self.connections.pop(connection)
+        client.queue.clear()
+        if client.exchange is not None:
+            client.exchange.notice_closed()
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return 'Unknown'
+
+
+def _ignore() -> None:
+    """Listening sockets are never written to."""
--- a/bamboodeck/http/reply_parser.py
+++ b/bamboodeck/http/reply_parser.py
@@ -20,6 +20,8 @@
         self.head: ReplyHead | None = None
         self.whole = False
         self.keep_alive = False
+        # Bytes after a whole answer belong to no request.
+        self.surplus = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._parts: list[bytes] = []
@@ -36,22 +38,28 @@
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserError as error:
+            if self.whole:
+                self.surplus = True
+                return self._take_parts()
             raise ReplySyntaxError(f'answer is not valid HTTP: {error}')
-        parts = self._parts
-        if len(parts) == 1:
-            return parts.pop()
-        body = b''.join(parts)
-        parts.clear()
-        return body
+        return self._take_parts()
+
+    def on_message_begin(self) -> None:
+        """Notice a second answer."""
+        self.surplus = self.whole
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collect a header."""
+        if self.surplus:
+            return
         self._headers.append(
             Header(name.decode('latin-1'), text.decode('latin-1')),
         )
 
     def on_headers_complete(self) -> None:
         """Build the head."""
+        if self.surplus:
+            return
         self.head = ReplyHead(
             self._parser.get_status_code(),
             tuple(self._headers),
@@ -59,9 +67,20 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the next part of the body."""
-        self._parts.append(body)
+        if not self.surplus:
+            self._parts.append(body)
 
     def on_message_complete(self) -> None:
         """Learn that the answer is whole."""
+        if self.surplus:
+            return
         self.whole = True
         self.keep_alive = self._parser.should_keep_alive()
+
+    def _take_parts(self) -> bytes:
+        parts = self._parts
+        if len(parts) == 1:
+            return parts.pop()
+        body = b''.join(parts)
+        parts.clear()
+        return body
--- a/bamboodeck/platform/__init__.py
+++ b/bamboodeck/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Reach the other services of the platform through narrow ports."""
+"""Speak with the users' platform: wire names, formats and calls, no decisions."""
--- /dev/null
+++ b/bamboodeck/platform/documents.py
@@ -0,0 +1,248 @@
+"""Decode and encode the documents that lie in the platform's store."""
+
+from typing import Any
+
+import msgspec
+
+from bamboodeck.errors import InputError
+from bamboodeck.gateway.model import (
+    BatchLimits,
+    Customer,
+    EngineEntry,
+    EngineState,
+    GatewayConfiguration,
+    ModelPrice,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+)
+from bamboodeck.http.messages import AddressError, parse_address
+from bamboodeck.http.relay_server import CallerLimits
+from bamboodeck.platform.host_settings import MILLISECONDS_PER_S
+
+_KINDS = {
+    'safe': RouteKind.SAFE,
+    'unsafe': RouteKind.UNSAFE,
+    'streaming': RouteKind.STREAM,
+}
+
+
+class DocumentError(InputError):
+    """Report a document that can't be read."""
+
+
+class _Wire(msgspec.Struct, frozen=True):
+    """Ignore fields that aren't known."""
+
+
+class _WireBackend(_Wire, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _WireRoute(_Wire, frozen=True):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    max_attempts: int = 1
+    # The time to the first event of a stream, to the whole answer of others.
+    target_latency_ms: float = 0.0
+    priority: int = 5
+    service: str | None = None
+    # The services among which the requests are shared out.
+    backends: tuple[_WireBackend, ...] = ()
+    # Tells that no key is needed.
+    public: bool = False
+    stream_resume: bool = False
+    # The models from which the gateway may choose, smallest first.
+    sizes: tuple[str, ...] = ()
+    gap_aim_ms: float = 0.0
+
+
+class _WireModel(_Wire, frozen=True):
+    name: str
+    cost: float = 0.0
+
+
+class _WireEngineLimits(_Wire, frozen=True):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    models: tuple[_WireModel, ...] = ()
+
+
+class _WireService(_Wire, frozen=True):
+    name: str
+    # The connections from all hosts together to one engine.
+    max_connections: int = 64
+    engine: _WireEngineLimits | None = None
+
+
+class _WireLimits(_Wire, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 10_000
+    idle_timeout_ms: float = 60_000
+
+
+class _WireTenant(_Wire, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _WireConfiguration(_Wire, frozen=True):
+    version: int
+    routes: tuple[_WireRoute, ...]
+    services: tuple[_WireService, ...] = ()
+    limits: _WireLimits = _WireLimits()
+    tenants: tuple[_WireTenant, ...] | None = None
+
+
+class _WireEngine(_Wire, frozen=True):
+    service: str
+    address: str
+    zone: str
+    # The version of the engine's software, which roll-outs replace.
+    version: str
+    state: str
+    slots: int = 1
+    # The number of orders that this life of the engine has accepted.
+    sequence: int = 0
+    # The Unix millisecond at which this life of the engine began.
+    born: int = 0
+    cold_remaining_ms: float = 0.0
+
+
+class _WireRollout(_Wire, frozen=True):
+    service: str
+    target: str
+    duration_s: float
+
+
+class _WireStatus(_Wire, frozen=True):
+    target: str
+    state: str
+
+
+def decode_configuration(content: bytes) -> GatewayConfiguration:
+    """Read a configuration; raise `DocumentError`."""
+    wire = _decode(content, _WireConfiguration)
+    customers = None
+    if wire.tenants is not None:
+        customers = {
+            key: Customer(tenant.name, tenant.priority)
+            for tenant in wire.tenants
+            for key in tenant.api_keys
+        }
+    return GatewayConfiguration(
+        version=wire.version,
+        routes=tuple(_build_route(route) for route in wire.routes),
+        services={
+            service.name: _build_service(service) for service in wire.services
+        },
+        limits=CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / MILLISECONDS_PER_S,
+            wire.limits.idle_timeout_ms / MILLISECONDS_PER_S,
+        ),
+        customers_by_key=customers,
+    )
+
+
+def decode_engine(engine_id: str, content: bytes) -> EngineEntry:
+    """Read an engine's entry; raise `DocumentError`."""
+    wire = _decode(content, _WireEngine)
+    try:
+        state = EngineState(wire.state)
+    except ValueError:
+        raise DocumentError(f'state "{wire.state}" is unknown')
+    try:
+        address = parse_address(wire.address)
+    except AddressError as error:
+        raise DocumentError(str(error))
+    return EngineEntry(
+        engine_id=engine_id,
+        service=wire.service,
+        address=address,
+        zone=wire.zone,
+        version=wire.version,
+        slots=max(wire.slots, 1),
+        state=state,
+        sequence=wire.sequence,
+        started_unix_ms=wire.born,
+        cold_s=wire.cold_remaining_ms / MILLISECONDS_PER_S,
+    )
+
+
+def decode_rollout(content: bytes) -> RolloutOrder:
+    """Read an order for a roll-out; raise `DocumentError`."""
+    wire = _decode(content, _WireRollout)
+    return RolloutOrder(wire.service, wire.target, wire.duration_s)
+
+
+def decode_status(content: bytes) -> RolloutStatus:
+    """Read the status of a roll-out; raise `DocumentError`."""
+    wire = _decode(content, _WireStatus)
+    try:
+        return RolloutStatus(wire.target, RolloutState(wire.state))
+    except ValueError:
+        raise DocumentError(f'state "{wire.state}" is unknown')
+
+
+def encode_status(status: RolloutStatus) -> bytes:
+    """Write the status of a roll-out."""
+    return msgspec.json.encode(_WireStatus(status.version, status.state.value))
+
+
+def _decode(content: bytes, wire_type: type) -> Any:
+    try:
+        return msgspec.json.decode(content, type=wire_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise DocumentError(str(error))
+
+
+def _build_route(wire: _WireRoute) -> Route:
+    kind = _KINDS.get(wire.kind)
+    if kind is None:
+        raise DocumentError(f'route {wire.name}: kind "{wire.kind}" is unknown')
+    services = tuple(
+        WeightedService(each.service, each.weight) for each in wire.backends
+    )
+    if wire.service is not None and not services:
+        services = (WeightedService(wire.service, 1.0),)
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        kind=kind,
+        services=services,
+        timeout_s=wire.timeout_ms / MILLISECONDS_PER_S,
+        target_latency_s=wire.target_latency_ms / MILLISECONDS_PER_S,
+        max_attempts=max(wire.max_attempts, 1),
+        priority=wire.priority,
+        public=wire.public,
+        resumable=wire.stream_resume,
+        models=wire.sizes,
+        max_gap_s=wire.gap_aim_ms / MILLISECONDS_PER_S,
+    )
+
+
+def _build_service(wire: _WireService) -> Service:
+    batch = None
+    if wire.engine is not None:
+        batch = BatchLimits(
+            wire.engine.slots,
+            wire.engine.kv_capacity_tokens,
+            tuple(
+                ModelPrice(model.name, model.cost)
+                for model in wire.engine.models
+            ),
+        )
+    return Service(wire.name, wire.max_connections, batch)
--- /dev/null
+++ b/bamboodeck/platform/registry.py
@@ -0,0 +1,270 @@
+"""Read and write what the fleet shares, as keys of the platform's store."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+import msgspec
+
+from bamboodeck.gateway.model import RolloutStatus
+from bamboodeck.gateway.ports import (
+    ConfigurationListed,
+    EngineSeen,
+    EngineUnlisted,
+    Fact,
+    HistoryLost,
+    LeaseLapsed,
+    OnWritten,
+    Outdated,
+    PeerListed,
+    PeerUnlisted,
+    RegistryFailed,
+    RegistryReply,
+    RolloutOrdered,
+    RolloutStatusListed,
+    RolloutStep,
+    RolloutStepListed,
+    Snapshot,
+    Unreadable,
+    Update,
+    WriteFailed,
+    WriteReply,
+    Written,
+)
+from bamboodeck.http.messages import Address, AddressError, parse_address
+from bamboodeck.platform import words
+from bamboodeck.platform.documents import (
+    DocumentError,
+    decode_configuration,
+    decode_engine,
+    decode_rollout,
+    decode_status,
+    encode_status,
+)
+from bamboodeck.platform.store import (
+    Change,
+    ChangesSeen,
+    Committed,
+    Condition,
+    Conflict,
+    HistoryGone,
+    Item,
+    ItemsRead,
+    LeaseGone,
+    LeaseGranted,
+    PlatformStore,
+    Removal,
+    StoreFailed,
+    StoreReply,
+    Write,
+)
+
+# Everything is listed under one prefix, so one watch follows it all.
+_EVERYTHING = ''
+_HOST_PREFIX = f'{words.OWN_PREFIX}hosts/'
+_STEP_PREFIX = f'{words.OWN_PREFIX}rollouts/'
+
+
+class _WireHost(msgspec.Struct, frozen=True):
+    address: str
+    zone: str
+
+
+class _WireStep(msgspec.Struct, frozen=True):
+    version: str
+    step: int
+    began_unix_s: float
+
+
+class PlatformRegistry:
+    """Translate the store's items to facts and back."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        """Keep the client of the store."""
+        self._store = store
+        self._lease: LeaseGranted | None = None
+
+    def read_all(self, on_reply: Callable[[RegistryReply], None]) -> None:
+        """Read all that is listed."""
+        self._store.read_prefix(
+            _EVERYTHING,
+            lambda reply: on_reply(_translate(reply)),
+        )
+
+    def wait_for_changes(
+        self,
+        after_revision: int,
+        wait_s: float,
+        on_reply: Callable[[RegistryReply], None],
+    ) -> None:
+        """Wait for changes after a revision."""
+        self._store.watch(
+            _EVERYTHING,
+            after_revision,
+            wait_s,
+            lambda reply: on_reply(_translate(reply)),
+        )
+
+    def write_step(
+        self,
+        step: RolloutStep,
+        replaced_revision: int,
+        on_written: OnWritten,
+    ) -> None:
+        """Write a roll-out's step, unless another host's came first."""
+        key = f'{_STEP_PREFIX}{step.service}'
+        content = msgspec.json.encode(
+            _WireStep(step.version, step.step, step.began_unix_s),
+        )
+        self._replace(key, content, replaced_revision, on_written)
+
+    def write_status(
+        self,
+        service: str,
+        status: RolloutStatus,
+        replaced_revision: int,
+        on_written: OnWritten,
+    ) -> None:
+        """Write a roll-out's status, unless another host's came first."""
+        key = f'{words.STATUS_PREFIX}{service}'
+        content = encode_status(status)
+        self._replace(key, content, replaced_revision, on_written)
+
+    def list_host(
+        self,
+        host: str,
+        zone: str,
+        address: Address,
+        lease_s: float,
+        on_written: OnWritten,
+    ) -> None:
+        """List this host for as long as its lease is renewed."""
+        content = msgspec.json.encode(_WireHost(str(address), zone))
+
+        def on_lease(reply: StoreReply) -> None:
+            if not isinstance(reply, LeaseGranted):
+                on_written(_translate_write(reply))
+                return
+            self._lease = reply
+            self._store.commit(
+                (),
+                (Write(f'{_HOST_PREFIX}{host}', content, reply.lease),),
+                lambda committed: on_written(_translate_write(committed)),
+            )
+
+        self._store.grant_lease(lease_s, on_lease)
+
+    def renew_host(self, on_written: OnWritten) -> None:
+        """Renew the lease of this host's entry."""
+        if self._lease is None:
+            on_written(LeaseLapsed())
+            return
+        self._store.renew_lease(
+            self._lease,
+            lambda reply: on_written(_translate_write(reply)),
+        )
+
+    def _replace(
+        self,
+        key: str,
+        content: bytes,
+        replaced_revision: int,
+        on_written: OnWritten,
+    ) -> None:
+        self._store.commit(
+            (Condition(key, replaced_revision),),
+            (Write(key, content),),
+            lambda reply: on_written(_translate_write(reply)),
+        )
+
+
+def _translate(reply: StoreReply) -> RegistryReply:
+    match reply:
+        case ItemsRead(items=items, revision=revision):
+            return Snapshot(tuple(_read_facts(items)), revision)
+        case ChangesSeen(changes=changes, revision=revision):
+            return Update(tuple(_read_facts(changes)), revision)
+        case HistoryGone():
+            return HistoryLost()
+        case StoreFailed(reason=reason):
+            return RegistryFailed(reason)
+    return RegistryFailed(f'unexpected {type(reply).__name__}')
+
+
+def _translate_write(reply: StoreReply) -> WriteReply:
+    match reply:
+        case Committed(revision=revision):
+            return Written(revision)
+        case LeaseGranted():
+            return Written(0)
+        case Conflict():
+            return Outdated()
+        case LeaseGone():
+            return LeaseLapsed()
+        case StoreFailed(reason=reason):
+            return WriteFailed(reason)
+    return WriteFailed(f'unexpected {type(reply).__name__}')
+
+
+def _read_facts(changes: Iterable[Change]) -> Iterator[Fact]:
+    for change in changes:
+        try:
+            fact = _read_fact(change)
+        except (DocumentError, AddressError, msgspec.MsgspecError) as error:
+            yield Unreadable(change.key, str(error), change.revision)
+            fact = _refuse(change)
+        if fact is not None:
+            yield fact
+
+
+def _read_fact(change: Change) -> Fact | None:
+    match change:
+        case Removal(key=key, revision=revision):
+            return _read_removal(key, revision)
+        case Item():
+            return _read_item(change)
+    return None
+
+
+def _read_item(item: Item) -> Fact | None:
+    key = item.key
+    content = item.content
+    revision = item.revision
+    if key == words.CONFIGURATION_KEY:
+        return ConfigurationListed(decode_configuration(content), revision)
+    if key.startswith(words.ENGINE_PREFIX):
+        engine_id = key.removeprefix(words.ENGINE_PREFIX)
+        return EngineSeen(decode_engine(engine_id, content), revision)
+    if key.startswith(words.ROLLOUT_PREFIX):
+        return RolloutOrdered(decode_rollout(content), revision)
+    if key.startswith(words.STATUS_PREFIX):
+        service = key.removeprefix(words.STATUS_PREFIX)
+        return RolloutStatusListed(service, decode_status(content), revision)
+    if key.startswith(_HOST_PREFIX):
+        wire = msgspec.json.decode(content, type=_WireHost)
+        host = key.removeprefix(_HOST_PREFIX)
+        address = parse_address(wire.address)
+        return PeerListed(host, address, wire.zone, revision)
+    if key.startswith(_STEP_PREFIX):
+        step = msgspec.json.decode(content, type=_WireStep)
+        service = key.removeprefix(_STEP_PREFIX)
+        return RolloutStepListed(
+            RolloutStep(service, step.version, step.step, step.began_unix_s),
+            revision,
+        )
+    return None
+
+
+def _read_removal(key: str, revision: int) -> Fact | None:
+    if key.startswith(words.ENGINE_PREFIX):
+        engine_id = key.removeprefix(words.ENGINE_PREFIX)
+        return EngineUnlisted(engine_id, 'entry removed', revision)
+    if key.startswith(_HOST_PREFIX):
+        return PeerUnlisted(key.removeprefix(_HOST_PREFIX), revision)
+    return None
+
+
+def _refuse(change: Change) -> Fact | None:
+    # An engine whose entry can't be read is no engine to use.
+    if change.key.startswith(words.ENGINE_PREFIX):
+        engine_id = change.key.removeprefix(words.ENGINE_PREFIX)
+        return EngineUnlisted(engine_id, 'entry unreadable', change.revision)
+    return None
--- /dev/null
+++ b/bamboodeck/platform/words.py
@@ -0,0 +1,37 @@
+"""Name the headers, calls and keys of the platform's protocol."""
+
+REQUEST_ID = 'X-Bamboodeck-Request-Id'
+DEADLINE_MS = 'X-Bamboodeck-Deadline-Ms'
+EXPECT_INSTANCE = 'X-Bamboodeck-Expect-Instance'
+EXPECT_VERSION = 'X-Bamboodeck-Expect-Version'
+TENANT = 'X-Bamboodeck-Tenant'
+API_KEY = 'X-Api-Key'
+MODEL = 'X-Bamboodeck-Model'
+TOKEN_COUNTS = 'X-Bamboodeck-Token-Counts'
+PROMPT_PREFIX = 'X-Bamboodeck-Prompt-Prefix'
+LENGTH_HINT = 'X-Bamboodeck-Length-Hint'
+LAST_EVENT_ID = 'Last-Event-Id'
+PRIORITY = 'X-Bamboodeck-Request-Priority'
+PIN_MS = 'X-Bamboodeck-Pin-Ms'
+HOLD = 'X-Bamboodeck-Hold'
+KV_BACKUP = 'X-Bamboodeck-Kv-Backup'
+KV_FROM = 'Kv-From'
+KV_FETCH = 'Kv-Fetch'
+SESSION = 'Session'
+STAMP = 'X-Bamboodeck-Response-Stamp'
+NOT_EXECUTED = 'X-Bamboodeck-Not-Executed'
+CONFIDENCE = 'X-Bamboodeck-Confidence'
+RETRY_AFTER = 'Retry-After'
+
+READY_PATH = '/api/ready'
+
+ANY_MODEL = '*'
+
+CONFIGURATION_KEY = 'op/config'
+ROLLOUT_PREFIX = 'op/rollout/'
+OPERATOR_PREFIX = 'op/'
+ENGINE_PREFIX = 'servers/'
+STATUS_PREFIX = 'status/rollout/'
+OWN_PREFIX = 'bamboodeck/'
+
+SETTINGS_VARIABLE = 'BAMBOODECK_SETTINGS'
--- a/tests/controller/test_placement.py
+++ b/tests/controller/test_placement.py
@@ -13,7 +13,7 @@
 from bamboodeck.http.messages import HttpReply
 from bamboodeck.logs import build_event_log
 from bamboodeck.placement.state import LoadVersion
-from bamboodeck.platform.weight_store import WeightsFetched
+from bamboodeck.external.weight_store import WeightsFetched
 
 TERM = 5
 LOAD_MEDIUM = LoadVersion('flanders-1', 'medium@1')
--- a/tests/controller/test_placement_sender.py
+++ b/tests/controller/test_placement_sender.py
@@ -10,7 +10,7 @@
 from bamboodeck.http.messages import HttpCall, HttpFailed, HttpReply
 from bamboodeck.logs import build_event_log
 from bamboodeck.placement.state import LoadVersion, UnloadVersion
-from bamboodeck.platform.weight_store import (
+from bamboodeck.external.weight_store import (
     WeightsFetched,
     WeightsLimited,
     WeightStoreUnavailable,
--- a/tests/entry/test_ratings.py
+++ b/tests/entry/test_ratings.py
@@ -2,7 +2,7 @@
 
 from bamboodeck.chat.context import AnswerToRate, NotScored, Scored
 from bamboodeck.entry.ratings import RatingCaller
-from bamboodeck.platform.rating import Rated, RatingUnavailable
+from bamboodeck.external.rating import Rated, RatingUnavailable
 
 ANSWER = AnswerToRate('r1', 'small@1', 'medena-desk', 'chat', 'text')
 
--- a/tests/platform/test_ports.py
+++ b/tests/external/test_ports.py
@@ -7,7 +7,7 @@
 from bamboodeck.fakes.weights import WeightSettings, WeightStore
 from bamboodeck.http.messages import ApiResponse
 from bamboodeck.http.server import HttpServer
-from bamboodeck.platform.host_list import (
+from bamboodeck.external.host_list import (
     Host,
     HostListUnavailable,
     HostRole,
@@ -15,13 +15,13 @@
     HostState,
     HttpHostList,
 )
-from bamboodeck.platform.rating import (
+from bamboodeck.external.rating import (
     HttpRating,
     RateAnswer,
     Rated,
     RatingUnavailable,
 )
-from bamboodeck.platform.weight_store import (
+from bamboodeck.external.weight_store import (
     FetchWeights,
     HttpWeightStore,
     WeightsFetched,
--- a/tests/fakes/test_services.py
+++ b/tests/fakes/test_services.py
@@ -12,8 +12,8 @@
 from bamboodeck.fakes.rating import Quality, RatingService, RatingSettings
 from bamboodeck.fakes.weights import WeightSettings, WeightStore
 from bamboodeck.http.messages import HttpFailed, find_header
-from bamboodeck.platform.host_list import Host, HostRole, HostState
-from bamboodeck.platform.rating import RateAnswer
+from bamboodeck.external.host_list import Host, HostRole, HostState
+from bamboodeck.external.rating import RateAnswer
 from tests.fakes.peers import start_peer
 from tests.http.looping import turn_until
 
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -3,6 +3,9 @@
 import contextlib
 import os
 import socket
+from collections.abc import Mapping
+
+import xxhash
 
 from bamboodeck.http.messages import Address
 
@@ -15,10 +18,10 @@
 class PortPool:
     """Give every port of a range at most once."""
 
-    def __init__(self, start: int) -> None:
-        """Begin at an offset into the range."""
+    def __init__(self, start: int, count: int = PORT_COUNT) -> None:
+        """Begin at an offset into the range and go no further than a count."""
         self._offsets = [
-            (start + number) % PORT_COUNT for number in range(PORT_COUNT)
+            (start + number) % PORT_COUNT for number in range(count)
         ]
 
     def take(self) -> Address:
@@ -30,8 +33,17 @@
                 return Address(LOOPBACK, port)
 
 
-# Test runs side by side begin far apart.
-_POOL = PortPool(os.getpid() * 1009 % PORT_COUNT)
+def build_pool(environ: Mapping[str, str], process_id: int) -> PortPool:
+    """Build the pool of a test process; workers of one run share no port."""
+    run = environ.get('PYTEST_XDIST_TESTRUNUID', str(process_id))
+    worker = environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw')
+    count = PORT_COUNT // int(environ.get('PYTEST_XDIST_WORKER_COUNT', '1'))
+    # Test runs side by side begin far apart.
+    start = xxhash.xxh32_intdigest(run.encode()) + int(worker) * count
+    return PortPool(start % PORT_COUNT, count)
+
+
+_POOL = build_pool(os.environ, os.getpid())
 
 
 def find_free_address() -> Address:
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -31,7 +31,7 @@
 )
 from bamboodeck.logs import build_event_log
 from bamboodeck.loop.program import Loop
-from bamboodeck.platform.host_list import Host, HostRole, HostState
+from bamboodeck.external.host_list import Host, HostRole, HostState
 from bamboodeck.settings.process import (
     parse_controller_settings,
     parse_entry_settings,
