--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -2,8 +2,8 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 from bamboodeck.environment import Environment
 from bamboodeck.gateway.context import GatewayContext, build_context
 from bamboodeck.gateway.discovery import Discovery
@@ -38,14 +38,15 @@
 STOP_CHECK_S = 0.05
 DRAIN_LOG_S = 0.1
 LOG_SECOND_S = 1.0
+# After this a host that came back has caught up with its callers.
+LOAD_METRICS_AFTER_S = 5.0
 
 _OK = 200
 _UNAVAILABLE = 503
 _PLAIN = (Header('Content-Type', 'text/plain; charset=utf-8'),)
 
 
-@dataclass(frozen=True, slots=True)
-class Platform:
+class Platform(msgspec.Struct, frozen=True):
     """Hold the adapter to the platform."""
 
     codec: ExchangeCodec
@@ -130,6 +131,7 @@
         scheduler = self.loop.scheduler
         scheduler.call_every(DRAIN_LOG_S, self.output.drain)
         scheduler.call_every(LOG_SECOND_S, self._bound_log)
+        scheduler.call_after(LOAD_METRICS_AFTER_S, self.context.metrics.load)
         self.log.emit(
             GatewayStarted(
                 settings.host,
--- a/bamboodeck/gateway/context.py
+++ b/bamboodeck/gateway/context.py
@@ -1,7 +1,6 @@
 """Hold what all requests of a gateway share."""
 
-from dataclasses import dataclass, field
-
+import msgspec
 from bamboodeck.admission.poison import PoisonGuard
 from bamboodeck.environment import Environment
 from bamboodeck.gateway.budget import RepeatBudget
@@ -18,8 +17,7 @@
 from bamboodeck.loop.program import Loop
 
 
-@dataclass(slots=True)
-class GatewayContext:
+class GatewayContext(msgspec.Struct):
     """Hold the loop, the log and what is known on this host."""
 
     environment: Environment
@@ -38,7 +36,7 @@
     configuration: GatewayConfiguration | None = None
     routes: RouteTable | None = None
     # When the store last confirmed what is known of the engines.
-    registry_heard_s: float = field(default=0.0)
+    registry_heard_s: float = 0.0
 
     def now_s(self) -> float:
         """Read the monotonic clock in seconds."""
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -6,8 +6,8 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 
+import msgspec
 from bamboodeck.gateway.model import (
     EngineEntry,
     EngineState,
@@ -26,8 +26,7 @@
 MAX_REMEMBERED_PARTS = 50_000
 
 
-@dataclass(slots=True)
-class PeerLoad:
+class PeerLoad(msgspec.Struct):
     """Hold what another host has running on an engine."""
 
     requests: int
@@ -35,15 +34,14 @@
     heard_s: float
 
 
-@dataclass(slots=True)
-class Engine:
+class Engine(msgspec.Struct):
     """Hold what this host knows of one life of an engine."""
 
     entry: EngineEntry
     # Requests of this host that run there, and the reading still to be done.
     requests: int = 0
     work_ms: float = 0.0
-    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    peers: dict[str, PeerLoad] = msgspec.field(default_factory=dict)
     failure_rate: float = 0.0
     pauses: int = 0
     paused_until_s: float = 0.0
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -1,10 +1,9 @@
 """Define the gateway's log events; each class names one."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayStarted:
+class GatewayStarted(msgspec.Struct, frozen=True):
     """Log that the process listens."""
 
     host: str
@@ -17,8 +16,7 @@
     start_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayStopping:
+class GatewayStopping(msgspec.Struct, frozen=True):
     """Log that the process takes no new connections before long."""
 
     running: int
@@ -26,31 +24,27 @@
     grace_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayStopped:
+class GatewayStopped(msgspec.Struct, frozen=True):
     """Log that the process ends, with the answers that it broke off."""
 
     broken_off: int
     ran_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsReloaded:
+class SettingsReloaded(msgspec.Struct, frozen=True):
     """Log that the settings file was read again."""
 
     cause: str
     changed: bool
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsRefused:
+class SettingsRefused(msgspec.Struct, frozen=True):
     """Log that a changed settings file has faults and isn't used."""
 
     faults: str
 
 
-@dataclass(frozen=True, slots=True)
-class StoreLost:
+class StoreLost(msgspec.Struct, frozen=True):
     """Log that the store doesn't answer; what is known stays in force."""
 
     reason: str
@@ -58,16 +52,14 @@
     age_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRegained:
+class StoreRegained(msgspec.Struct, frozen=True):
     """Log that the store answers again."""
 
     revision: int
     away_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationApplied:
+class ConfigurationApplied(msgspec.Struct, frozen=True):
     """Log a configuration that is now in force on this host."""
 
     version: int
@@ -77,8 +69,7 @@
     keys: int
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationIgnored:
+class ConfigurationIgnored(msgspec.Struct, frozen=True):
     """Log a configuration that isn't newer than the one in force."""
 
     version: int
@@ -86,8 +77,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentSkipped:
+class DocumentSkipped(msgspec.Struct, frozen=True):
     """Log a document of the store that can't be read."""
 
     key: str
@@ -95,8 +85,7 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class EngineListed:
+class EngineListed(msgspec.Struct, frozen=True):
     """Log what the registry says of an engine."""
 
     engine: str
@@ -109,8 +98,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class EngineGone:
+class EngineGone(msgspec.Struct, frozen=True):
     """Log that an engine gets no new work, and why."""
 
     engine: str
@@ -118,8 +106,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class EnginePaused:
+class EnginePaused(msgspec.Struct, frozen=True):
     """Log that an engine couldn't be reached or went silent."""
 
     engine: str
@@ -128,15 +115,13 @@
     requests: int
 
 
-@dataclass(frozen=True, slots=True)
-class EngineBack:
+class EngineBack(msgspec.Struct, frozen=True):
     """Log that a paused engine answers again."""
 
     engine: str
 
 
-@dataclass(frozen=True, slots=True)
-class RequestPlaced:
+class RequestPlaced(msgspec.Struct, frozen=True):
     """Log where a request goes, and what decided it."""
 
     request_id: str
@@ -159,8 +144,7 @@
     registry_age_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RequestWaits:
+class RequestWaits(msgspec.Struct, frozen=True):
     """Log that a request waits for a place."""
 
     request_id: str
@@ -170,8 +154,7 @@
     expected_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerJudged:
+class AnswerJudged(msgspec.Struct, frozen=True):
     """Log whether an answer is passed on or asked of a larger model."""
 
     request_id: str
@@ -183,8 +166,7 @@
     decision: str
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptFailed:
+class AttemptFailed(msgspec.Struct, frozen=True):
     """Log an attempt that brought no whole answer, and what follows."""
 
     request_id: str
@@ -197,8 +179,7 @@
     sequel: str
 
 
-@dataclass(frozen=True, slots=True)
-class RequestEnded:
+class RequestEnded(msgspec.Struct, frozen=True):
     """Log how a request ended."""
 
     request_id: str
@@ -212,8 +193,7 @@
     sent_bytes: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutSeen:
+class RolloutSeen(msgspec.Struct, frozen=True):
     """Log an operator's order for a roll-out."""
 
     service: str
@@ -222,8 +202,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutMoved:
+class RolloutMoved(msgspec.Struct, frozen=True):
     """Log a step or an end of a roll-out that this host has learned."""
 
     service: str
@@ -233,8 +212,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutJudged:
+class RolloutJudged(msgspec.Struct, frozen=True):
     """Log that a version is bad by the shared evidence."""
 
     service: str
@@ -245,8 +223,7 @@
     old_bad: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutWritten:
+class RolloutWritten(msgspec.Struct, frozen=True):
     """Log what became of a write of a roll-out's step or status."""
 
     service: str
@@ -256,16 +233,14 @@
     outcome: str
 
 
-@dataclass(frozen=True, slots=True)
-class RequestSuspected:
+class RequestSuspected(msgspec.Struct, frozen=True):
     """Log that a request was running when its engine crashed."""
 
     engine: str
     fingerprint: str
 
 
-@dataclass(frozen=True, slots=True)
-class PeerSeen:
+class PeerSeen(msgspec.Struct, frozen=True):
     """Log a host of the fleet that is now known."""
 
     host: str
@@ -273,23 +248,20 @@
     hosts: int
 
 
-@dataclass(frozen=True, slots=True)
-class PeerGone:
+class PeerGone(msgspec.Struct, frozen=True):
     """Log a host that is no longer listed."""
 
     host: str
     hosts: int
 
 
-@dataclass(frozen=True, slots=True)
-class MembershipFailed:
+class MembershipFailed(msgspec.Struct, frozen=True):
     """Log that this host isn't listed for its peers."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class LinesLeftOut:
+class LinesLeftOut(msgspec.Struct, frozen=True):
     """Log how many lines were left out to bound the volume."""
 
     lines: int
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import socket
-from dataclasses import dataclass
 
 import msgspec
 
@@ -68,8 +67,7 @@
     crashes: tuple[_Crash, ...] = ()
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(msgspec.Struct):
     """Hold what is known of another host."""
 
     host: str
--- a/bamboodeck/gateway/measures.py
+++ b/bamboodeck/gateway/measures.py
@@ -2,52 +2,32 @@
 
 import math
 from collections import Counter as TextCounter
+from collections import deque
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
-
-from bamboodeck.metrics import BoundedLabels
+from bamboodeck.series import BoundedLabels
 
 LATENCY_BUCKETS_S = (
     0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 4.0, 8.0, 25.0, math.inf,
 )  # fmt: skip
+# Answers that are timed until the registry is built, some seconds' worth.
+MAX_PENDING = 5_000
 
 
 class GatewayMetrics:
-    """Own the registry; counts are kept plain and copied when asked for."""
+    """Keep plain counts; the registry is built from them when asked for.
+
+    The library takes a tenth of the time of a start, in which a host that
+    comes back has better things to do.
+    """
 
     def __init__(self) -> None:
-        """Define the metrics."""
-        self.registry = Registry()
+        """Start without a registry."""
         self.answers: TextCounter[tuple[str, str]] = TextCounter()
         self.events: TextCounter[str] = TextCounter()
+        self.states: dict[str, float] = {}
         self._labels = BoundedLabels()
-        self._answers = Counter(
-            'bamboodeck_gateway_answers_total',
-            'Answers by route and outcome',
-            registry=self.registry,
-        )
-        self._events = Counter(
-            'bamboodeck_gateway_events_total',
-            'Attempts, repeats, refusals and lost dependencies',
-            registry=self.registry,
-        )
-        self._gauge = Gauge(
-            'bamboodeck_gateway_state',
-            'Versions in force, ages in seconds, sizes',
-            registry=self.registry,
-        )
-        self._first = Histogram(
-            'bamboodeck_gateway_first_byte_seconds',
-            'Time to the first byte of an answer in seconds',
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS_S,
-        )
-        self._total = Histogram(
-            'bamboodeck_gateway_answer_seconds',
-            'Time to the whole answer in seconds',
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS_S,
-        )
+        self._pending: deque[tuple[float, float]] = deque(maxlen=MAX_PENDING)
+        self._exposition = None
 
     def count_answer(self, route: str, outcome: str) -> None:
         """Count an answer to a caller."""
@@ -59,18 +39,28 @@
 
     def time_answer(self, first_s: float, total_s: float) -> None:
         """Add an answer to the histograms."""
-        self._first.observe({}, first_s)
-        self._total.observe({}, total_s)
+        if self._exposition is None:
+            self._pending.append((first_s, total_s))
+        else:
+            self._exposition.observe(first_s, total_s)
 
     def set_state(self, name: str, number: float) -> None:
         """Set a number that an operator watches."""
-        self._gauge.set({'name': name}, number)
+        self.states[name] = number
+
+    def load(self) -> None:
+        """Build the registry and fill it with what was kept."""
+        if self._exposition is not None:
+            return
+        # A library that needn't be there before the first answer.
+        from bamboodeck.gateway.exposition import Exposition
+
+        self._exposition = Exposition(LATENCY_BUCKETS_S)
+        for first_s, total_s in self._pending:
+            self._exposition.observe(first_s, total_s)
+        self._pending.clear()
 
     def render(self) -> bytes:
         """Write all metrics in the Prometheus text format."""
-        for (route, outcome), number in self.answers.items():
-            self._answers.set({'route': route, 'outcome': outcome}, number)
-        for event, number in self.events.items():
-            self._events.set({'event': event}, number)
-        content, _ = render(self.registry, ['text/plain'])
-        return content
+        self.load()
+        return self._exposition.render(self.answers, self.events, self.states)
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -2,8 +2,8 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
 
+import msgspec
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.http.relay_server import CallerLimits
 
@@ -17,16 +17,14 @@
     STREAM = 'stream'
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+class WeightedService(msgspec.Struct, frozen=True):
     """Name a service and its weight among the services of a route."""
 
     service: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Describe which requests go to which services, and how."""
 
     name: str
@@ -55,16 +53,14 @@
                 return self.resumable
 
 
-@dataclass(frozen=True, slots=True)
-class ModelPrice:
+class ModelPrice(msgspec.Struct, frozen=True):
     """Name a model and what 1,000 generated tokens cost."""
 
     model: str
     cost: float
 
 
-@dataclass(frozen=True, slots=True)
-class BatchLimits:
+class BatchLimits(msgspec.Struct, frozen=True):
     """Hold what one model engine can run at once."""
 
     slots: int
@@ -72,8 +68,7 @@
     prices: tuple[ModelPrice, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """Describe a service; `batch` is set if its servers are model engines."""
 
     name: str
@@ -81,16 +76,14 @@
     batch: BatchLimits | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Customer:
+class Customer(msgspec.Struct, frozen=True):
     """Name a customer; a priority of its own goes before the route's."""
 
     name: str
     priority: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayConfiguration:
+class GatewayConfiguration(msgspec.Struct, frozen=True):
     """Hold the routes, services and customers of one version."""
 
     version: int
@@ -109,8 +102,7 @@
     DRAINING = 'draining'
 
 
-@dataclass(frozen=True, slots=True)
-class EngineEntry:
+class EngineEntry(msgspec.Struct, frozen=True):
     """Hold what an engine says of itself in the registry."""
 
     engine_id: str
@@ -127,8 +119,7 @@
     cold_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrder:
+class RolloutOrder(msgspec.Struct, frozen=True):
     """Ask for a service's traffic to move to a version within a time."""
 
     service: str
@@ -145,24 +136,21 @@
     ROLLED_BACK = 'rolled_back'
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutStatus:
+class RolloutStatus(msgspec.Struct, frozen=True):
     """Tell operators how far the roll-out of a version is."""
 
     version: str
     state: RolloutState
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """Name a part of a prompt that other requests may share."""
 
     part_id: str
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Generation:
+class Generation(msgspec.Struct, frozen=True):
     """Hold what a request asks of a model engine.
 
     `model` is None if the gateway chooses it.
@@ -183,8 +171,7 @@
         return min(self.expected_output_tokens, self.max_output_tokens)
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
+class CallerRequest(msgspec.Struct, frozen=True):
     """Hold a request of a caller as the gateway sees it."""
 
     request_id: str
@@ -203,8 +190,7 @@
     received_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class EngineCall:
+class EngineCall(msgspec.Struct, frozen=True):
     """Ask one engine to run a request."""
 
     engine: EngineEntry
@@ -216,8 +202,7 @@
     last_event_id: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EngineHead:
+class EngineHead(msgspec.Struct, frozen=True):
     """Hold the head of an engine's answer."""
 
     status: int
@@ -230,8 +215,7 @@
     confidence: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class HostSettings:
+class HostSettings(msgspec.Struct, frozen=True):
     """Hold what the platform tells a host of itself."""
 
     host: str
@@ -248,8 +232,7 @@
     bounds: 'Bounds'
 
 
-@dataclass(frozen=True, slots=True)
-class Bounds:
+class Bounds(msgspec.Struct, frozen=True):
     """Hold the deployment's bounds that decisions keep to."""
 
     drain_s: float = 2.5
--- a/bamboodeck/gateway/models.py
+++ b/bamboodeck/gateway/models.py
@@ -6,7 +6,7 @@
 rejections.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 # With idle engines, answers below this confidence are worth a larger model.
 IDLE_CONFIDENCE = 60
@@ -17,15 +17,13 @@
 SAFE_PART = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class Keep:
+class Keep(msgspec.Struct, frozen=True):
     """Pass the answer on."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class RunAgain:
+class RunAgain(msgspec.Struct, frozen=True):
     """Drop the answer and run the request on a larger model."""
 
     model: str
@@ -34,8 +32,7 @@
 Judgement = Keep | RunAgain
 
 
-@dataclass(frozen=True, slots=True)
-class Draft:
+class Draft(msgspec.Struct, frozen=True):
     """Describe an answer of which the caller has received nothing."""
 
     confidence: int | None
--- a/bamboodeck/gateway/pace.py
+++ b/bamboodeck/gateway/pace.py
@@ -1,6 +1,6 @@
 """Learn how long models read prompts and how long services answer."""
 
-from dataclasses import dataclass
+import msgspec
 
 # Reading speed assumed before the first answer: the smallest model reads 200
 # tokens in a millisecond, each larger one a third of the model before it.
@@ -14,8 +14,7 @@
 LARGEST_CORRECTION = 2.0
 
 
-@dataclass(slots=True)
-class ModelPace:
+class ModelPace(msgspec.Struct):
     """Hold the reading time of a model in milliseconds a token."""
 
     ms_per_token: float
--- a/bamboodeck/gateway/placement.py
+++ b/bamboodeck/gateway/placement.py
@@ -8,8 +8,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
+import msgspec
 import xxhash
 
 from bamboodeck.gateway.engines import Engine, EngineBook
@@ -35,8 +35,7 @@
 PEER_NEWS_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class Position:
+class Position(msgspec.Struct, frozen=True):
     """Tell where a host is."""
 
     zone: str
@@ -52,8 +51,7 @@
         return REGION_MS
 
 
-@dataclass(frozen=True, slots=True)
-class Offer:
+class Offer(msgspec.Struct, frozen=True):
     """Price an engine for a request: the cost decides, the wait is told."""
 
     engine: Engine
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -1,9 +1,9 @@
 """Define what a gateway asks of the adapter to its platform."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 from bamboodeck.gateway.model import (
     CallerRequest,
     EngineCall,
@@ -48,24 +48,21 @@
         """Tell whether a request asks if the host takes callers."""
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationListed:
+class ConfigurationListed(msgspec.Struct, frozen=True):
     """Tell of the operators' newest configuration."""
 
     configuration: GatewayConfiguration
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class EngineSeen:
+class EngineSeen(msgspec.Struct, frozen=True):
     """Tell of an engine's entry."""
 
     entry: EngineEntry
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class EngineUnlisted:
+class EngineUnlisted(msgspec.Struct, frozen=True):
     """Tell that an engine has no entry, or none that can be read."""
 
     engine_id: str
@@ -73,16 +70,14 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrdered:
+class RolloutOrdered(msgspec.Struct, frozen=True):
     """Tell of an operator's order for a roll-out."""
 
     order: RolloutOrder
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutStatusListed:
+class RolloutStatusListed(msgspec.Struct, frozen=True):
     """Tell of the status of a service's roll-out."""
 
     service: str
@@ -90,8 +85,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutStep:
+class RolloutStep(msgspec.Struct, frozen=True):
     """Hold how far a roll-out is, as the fleet has agreed."""
 
     service: str
@@ -101,16 +95,14 @@
     began_unix_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutStepListed:
+class RolloutStepListed(msgspec.Struct, frozen=True):
     """Tell of the step that the fleet has agreed on."""
 
     step: RolloutStep
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class PeerListed:
+class PeerListed(msgspec.Struct, frozen=True):
     """Tell where another host of the fleet listens for news."""
 
     host: str
@@ -119,16 +111,14 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUnlisted:
+class PeerUnlisted(msgspec.Struct, frozen=True):
     """Tell that a host of the fleet is no longer listed."""
 
     host: str
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Unreadable:
+class Unreadable(msgspec.Struct, frozen=True):
     """Tell of a document that can't be read."""
 
     key: str
@@ -149,29 +139,25 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(msgspec.Struct, frozen=True):
     """Hold all that the store lists, as of a revision."""
 
     facts: tuple[Fact, ...]
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Update:
+class Update(msgspec.Struct, frozen=True):
     """Hold what has changed, up to a revision."""
 
     facts: tuple[Fact, ...]
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class HistoryLost:
+class HistoryLost(msgspec.Struct, frozen=True):
     """Tell that changes were missed, so all has to be read again."""
 
 
-@dataclass(frozen=True, slots=True)
-class RegistryFailed:
+class RegistryFailed(msgspec.Struct, frozen=True):
     """Tell that the store gave no answer."""
 
     reason: str
@@ -180,25 +166,21 @@
 RegistryReply = Snapshot | Update | HistoryLost | RegistryFailed
 
 
-@dataclass(frozen=True, slots=True)
-class Written:
+class Written(msgspec.Struct, frozen=True):
     """Tell that a write was made."""
 
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Outdated:
+class Outdated(msgspec.Struct, frozen=True):
     """Tell that another host's write came first."""
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseLapsed:
+class LeaseLapsed(msgspec.Struct, frozen=True):
     """Tell that a host's lease has ended."""
 
 
-@dataclass(frozen=True, slots=True)
-class WriteFailed:
+class WriteFailed(msgspec.Struct, frozen=True):
     """Tell that no answer came; the write may still be made."""
 
     reason: str
--- a/bamboodeck/gateway/retrying.py
+++ b/bamboodeck/gateway/retrying.py
@@ -5,7 +5,8 @@
 """
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 # An engine needs about this long for the smallest answer, with its round trip.
 SMALLEST_RUN_S = 0.08
@@ -27,8 +28,7 @@
     ERROR = 'error'
 
 
-@dataclass(frozen=True, slots=True)
-class FailedAttempt:
+class FailedAttempt(msgspec.Struct, frozen=True):
     """Describe a failed attempt and what is left to the request."""
 
     cause: FailureCause
@@ -42,13 +42,11 @@
     budget_allows: bool
 
 
-@dataclass(frozen=True, slots=True)
-class TryAgain:
+class TryAgain(msgspec.Struct, frozen=True):
     """Send the request to another engine."""
 
 
-@dataclass(frozen=True, slots=True)
-class GiveUp:
+class GiveUp(msgspec.Struct, frozen=True):
     """End the request; `not_run` tells whether a refusal would be true."""
 
     not_run: bool
--- a/bamboodeck/gateway/rollout_guide.py
+++ b/bamboodeck/gateway/rollout_guide.py
@@ -6,8 +6,8 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
+import msgspec
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.engines import Engine
 from bamboodeck.gateway.events import (
@@ -47,8 +47,7 @@
 _TERMINAL = frozenset((RolloutState.COMPLETED, RolloutState.ROLLED_BACK))
 
 
-@dataclass(slots=True)
-class Rollout:
+class Rollout(msgspec.Struct):
     """Hold the roll-out of one service as this host knows it."""
 
     order: RolloutOrder
@@ -70,12 +69,13 @@
         return self.state in _TERMINAL
 
 
-@dataclass(slots=True)
-class Evidence:
+class Evidence(msgspec.Struct):
     """Count answers by engine, of this host and of the others."""
 
-    own: dict[str, AnswerCounts] = field(default_factory=dict)
-    others: dict[str, dict[str, AnswerCounts]] = field(default_factory=dict)
+    own: dict[str, AnswerCounts] = msgspec.field(default_factory=dict)
+    others: dict[str, dict[str, AnswerCounts]] = msgspec.field(
+        default_factory=dict
+    )
 
     def total(self, engine_ids: Iterable[str]) -> dict[str, AnswerCounts]:
         """Return the counts of all hosts for some engines."""
--- a/bamboodeck/gateway/rollouts.py
+++ b/bamboodeck/gateway/rollouts.py
@@ -8,8 +8,8 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
 
+import msgspec
 import xxhash
 
 # The share of sessions on the new version, and the part of the roll-out's time
@@ -29,8 +29,7 @@
 FEWEST_ENGINES = 3
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerCounts:
+class AnswerCounts(msgspec.Struct, frozen=True):
     """Count the answers of one engine, and those that failed or were slow."""
 
     answers: int = 0
@@ -84,8 +83,7 @@
     return log_odds >= BAD_LOG_ODDS
 
 
-@dataclass(frozen=True, slots=True)
-class VersionChoice:
+class VersionChoice(msgspec.Struct, frozen=True):
     """Tell which version of a service a request may use.
 
     `None` stands for any version but the excluded ones.
--- a/bamboodeck/gateway/routes.py
+++ b/bamboodeck/gateway/routes.py
@@ -1,7 +1,6 @@
 """Find the route and the customer of a request."""
 
-from dataclasses import dataclass
-
+import msgspec
 from bamboodeck.gateway.model import (
     CallerRequest,
     Customer,
@@ -10,21 +9,18 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Resolved:
+class Resolved(msgspec.Struct, frozen=True):
     """Tell which route a request takes, for which customer."""
 
     route: Route
     customer: Customer | None
 
 
-@dataclass(frozen=True, slots=True)
-class NoRoute:
+class NoRoute(msgspec.Struct, frozen=True):
     """Tell that no route fits the host and path."""
 
 
-@dataclass(frozen=True, slots=True)
-class UnknownKey:
+class UnknownKey(msgspec.Struct, frozen=True):
     """Tell that the route asks for a key, and the request's isn't known."""
 
 
--- a/bamboodeck/gateway/silence.py
+++ b/bamboodeck/gateway/silence.py
@@ -5,8 +5,7 @@
 patience grows with the predicted time.
 """
 
-from dataclasses import dataclass
-
+import msgspec
 from bamboodeck.http.messages import FailureKind
 
 # A first token may take this many times the predicted time.
@@ -20,8 +19,7 @@
 DARK_REQUESTS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Quiet:
+class Quiet(msgspec.Struct, frozen=True):
     """Describe an attempt from which nothing has come for a while."""
 
     now_s: float
--- a/bamboodeck/gateway/streams.py
+++ b/bamboodeck/gateway/streams.py
@@ -1,7 +1,8 @@
 """Cut an engine's event stream into whole events."""
 
 import re
-from dataclasses import dataclass
+
+import msgspec
 
 MAX_EVENT_BYTES = 1_048_576
 _SEPARATOR = re.compile(rb'\r\n\r\n|\n\n|\r\r')
@@ -12,8 +13,7 @@
     """Report an event without an end."""
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True):
     """Hold the bytes of one event, with its end, and its id if it has one."""
 
     content: bytes
--- a/bamboodeck/gateway/waiting.py
+++ b/bamboodeck/gateway/waiting.py
@@ -7,9 +7,10 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 # A waiting request still has to run: it is rejected when its turn is expected
 # later than at this part of the time to its deadline.
 LARGEST_WAIT_PART = 0.6
@@ -20,8 +21,7 @@
 _TURN_WEIGHT = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
+class Waiting(msgspec.Struct, frozen=True):
     """Describe a request that waits; lower ranks are more urgent."""
 
     ticket: Any
--- a/bamboodeck/http/intake.py
+++ b/bamboodeck/http/intake.py
@@ -1,8 +1,7 @@
 """Parse requests from a connection, bounded in size."""
 
-from dataclasses import dataclass
-
 import httptools
+import msgspec
 
 from bamboodeck.errors import InputError
 
@@ -27,8 +26,7 @@
         self.status = status
 
 
-@dataclass(frozen=True, slots=True)
-class ParsedRequest:
+class ParsedRequest(msgspec.Struct, frozen=True):
     """Hold a whole request as it was received."""
 
     method: str
--- a/bamboodeck/http/messages.py
+++ b/bamboodeck/http/messages.py
@@ -2,10 +2,11 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import Protocol
 
+import msgspec
+
 from bamboodeck.errors import InputError
 
 JSON_TYPE = 'application/json'
@@ -18,8 +19,7 @@
     """Report text that is no IP number with a port."""
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Address:
+class Address(msgspec.Struct, frozen=True, order=True):
     """Name a peer by IP number and port."""
 
     host: str
@@ -44,16 +44,14 @@
     return Address(host, int(port))
 
 
-@dataclass(frozen=True, slots=True)
-class Header:
+class Header(msgspec.Struct, frozen=True):
     """Hold one header field."""
 
     name: str
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class HttpCall:
+class HttpCall(msgspec.Struct, frozen=True):
     """Ask a peer for something."""
 
     address: Address
@@ -67,8 +65,7 @@
     host: str = ''
 
 
-@dataclass(frozen=True, slots=True)
-class HttpReply:
+class HttpReply(msgspec.Struct, frozen=True):
     """Hold a whole answer."""
 
     status: int
@@ -87,8 +84,7 @@
     LATE = 'late'
 
 
-@dataclass(frozen=True, slots=True)
-class HttpFailed:
+class HttpFailed(msgspec.Struct, frozen=True):
     """Tell that no whole answer came, and whether the peer may have started.
 
     `maybe_started` is false only if no byte of the request was sent.
@@ -102,8 +98,7 @@
 HttpOutcome = HttpReply | HttpFailed
 
 
-@dataclass(frozen=True, slots=True)
-class ReplyHead:
+class ReplyHead(msgspec.Struct, frozen=True):
     """Hold the status and the headers of an answer that is to follow."""
 
     status: int
@@ -135,8 +130,7 @@
     return None
 
 
-@dataclass(frozen=True, slots=True)
-class ApiRequest:
+class ApiRequest(msgspec.Struct, frozen=True):
     """Hold a whole request of a caller; header names are in lower case."""
 
     method: str
@@ -148,13 +142,12 @@
     received_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ApiResponse:
+class ApiResponse(msgspec.Struct, frozen=True):
     """Hold a whole answer to a caller."""
 
     status: int
     body: bytes = b''
     content_type: str = JSON_TYPE
-    headers: Mapping[str, str] = field(
+    headers: Mapping[str, str] = msgspec.field(
         default_factory=lambda: MappingProxyType({}),
     )
--- a/bamboodeck/http/relay_server.py
+++ b/bamboodeck/http/relay_server.py
@@ -7,9 +7,10 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from http import HTTPStatus
 
+import msgspec
+
 from bamboodeck.http.connection import Connection
 from bamboodeck.http.intake import (
     MAX_PIPELINED_BYTES,
@@ -30,8 +31,7 @@
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """Bound what a caller may send, and how slowly."""
 
     max_header_bytes: int = 16_384
@@ -139,10 +139,10 @@
     def _finish(self) -> None:
         self.done = True
         self._client.connection.on_drained = None
-        self._client.server.finish_exchange(
-            self._client,
-            close=self.close_after,
-        )
+        server = self._client.server
+        # The head of a long answer may have gone out before the stop.
+        close = self.close_after or server.stopping
+        server.finish_exchange(self._client, close=close)
 
 
 class _Client:
--- a/bamboodeck/logs.py
+++ b/bamboodeck/logs.py
@@ -54,10 +54,7 @@
         """Log one event, named after its class."""
         if not self._logger.isEnabledFor(level):
             return
-        fields = {
-            spec.name: getattr(event, spec.name)
-            for spec in dataclasses.fields(event)
-        }
+        fields = {name: getattr(event, name) for name in _field_names(event)}
         self._logger.log(
             level,
             event_name(type(event)),
@@ -93,6 +90,14 @@
     return _WORD_BOUNDARY.sub('_', event_type.__name__).lower()
 
 
+def _field_names(event: Any) -> tuple[str, ...]:
+    # Structs of msgspec and data classes name their fields differently.
+    names = getattr(event, '__struct_fields__', None)
+    if names is None:
+        return tuple(spec.name for spec in dataclasses.fields(event))
+    return names
+
+
 def _quote(field_value: Any) -> str:
     if isinstance(field_value, float):
         return f'{field_value:.6g}'
--- a/bamboodeck/metrics.py
+++ b/bamboodeck/metrics.py
@@ -7,8 +7,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-MAX_SERIES = 200
-OVERFLOW = 'other'
+from bamboodeck.series import BoundedLabels
+
 FIRST_TOKEN_BUCKETS_S = (0.1, 0.25, 0.5, 1, 1.9, 3, 5, 10, math.inf)
 TOTAL_BUCKETS_S = (0.5, 1, 2, 5, 10, 20, 30, 60, 120, math.inf)
 
@@ -16,26 +16,6 @@
 _PAGE_BYTES = resource.getpagesize()
 
 
-class BoundedLabels:
-    """Replace label texts past a bound, so that series stay bounded."""
-
-    def __init__(self, max_series: int = MAX_SERIES) -> None:
-        """Start with no label text seen."""
-        self.overflowed = 0
-        self._max_series = max_series
-        self._seen: set[tuple[str, ...]] = set()
-
-    def bound(self, *texts: str) -> tuple[str, ...]:
-        """Return the texts, or the overflow mark for each."""
-        if texts in self._seen:
-            return texts
-        if len(self._seen) >= self._max_series:
-            self.overflowed += 1
-            return (OVERFLOW,) * len(texts)
-        self._seen.add(texts)
-        return texts
-
-
 class Metrics:
     """Own the registry of a process and its metrics."""
 
--- a/bamboodeck/platform/adapter.py
+++ b/bamboodeck/platform/adapter.py
@@ -11,7 +11,13 @@
 from bamboodeck.platform.registry import PlatformRegistry
 from bamboodeck.platform.store import PlatformStore
 
-parse_settings = parse_host_settings
+
+def parse_settings(text: str) -> HostSettings:
+    """Decode a settings file; raise an error with all of its faults."""
+    return parse_host_settings(
+        text,
+        os.environ.get(words.METRICS_PORT_VARIABLE),
+    )
 
 
 def find_settings_path() -> Path | None:
--- a/bamboodeck/platform/host_settings.py
+++ b/bamboodeck/platform/host_settings.py
@@ -47,12 +47,17 @@
             return default
 
 
-def parse_host_settings(text: str) -> HostSettings:
+def parse_host_settings(
+    text: str,
+    metrics_port: str | None = None,
+) -> HostSettings:
     """Decode a settings file; raise `HostSettingsError` with all faults.
 
     Unknown keys are ignored, as the platform may add some.
     """
     fields = _read_lines(text)
+    if metrics_port:
+        fields['metrics_port'] = metrics_port
     reader = _Reader(fields)
     address = reader.text('ip')
     first_port, last_port = reader.ports('internal_ports')
@@ -68,7 +73,10 @@
         callers_listen=reader.address('listen.front'),
         ready_listen=reader.address('listen.ready'),
         peer_listen=Address(address, first_port),
-        metrics_listen=Address(address, last_port),
+        metrics_listen=Address(
+            address,
+            int(reader.number('metrics_port', last_port)),
+        ),
         store=reader.address('platform.address'),
         max_descriptors=int(reader.number('limits.max_fds', 1024)),
         memory_mb=int(reader.number('limits.memory_mb', 256)),
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -3,7 +3,6 @@
 import base64
 import binascii
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
 
@@ -36,8 +35,7 @@
 _UNAVAILABLE = 503
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
+class Item(msgspec.Struct, frozen=True):
     """Hold a key of the store with its content."""
 
     key: str
@@ -46,8 +44,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Removal:
+class Removal(msgspec.Struct, frozen=True):
     """Tell that a key was removed."""
 
     key: str
@@ -57,54 +54,46 @@
 Change = Item | Removal
 
 
-@dataclass(frozen=True, slots=True)
-class ItemsRead:
+class ItemsRead(msgspec.Struct, frozen=True):
     """Hold what lies under a prefix; `revision` is the oldest page's."""
 
     items: tuple[Item, ...]
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class ChangesSeen:
+class ChangesSeen(msgspec.Struct, frozen=True):
     """Hold the changes up to a revision."""
 
     changes: tuple[Change, ...]
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class HistoryGone:
+class HistoryGone(msgspec.Struct, frozen=True):
     """Tell that the changes since a revision are no longer kept."""
 
 
-@dataclass(frozen=True, slots=True)
-class Committed:
+class Committed(msgspec.Struct, frozen=True):
     """Tell that a change was made."""
 
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True):
     """Tell that a condition didn't hold, so nothing was changed."""
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseGranted:
+class LeaseGranted(msgspec.Struct, frozen=True):
     """Hold a lease and how long it lasts."""
 
     lease: int
     ttl_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseGone:
+class LeaseGone(msgspec.Struct, frozen=True):
     """Tell that a lease has ended, so nothing was changed."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreFailed:
+class StoreFailed(msgspec.Struct, frozen=True):
     """Tell that no answer can be had; a change may still be made later."""
 
     reason: str
@@ -124,8 +113,7 @@
 OnReply = Callable[[StoreReply], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True):
     """Set a key, bound to a lease unless that is 0."""
 
     key: str
@@ -133,8 +121,7 @@
     lease: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Condition:
+class Condition(msgspec.Struct, frozen=True):
     """Demand a key's revision; 0 demands that there is no such key."""
 
     key: str
@@ -168,8 +155,7 @@
     ttl_ms: float
 
 
-@dataclass(slots=True)
-class StoreCounters:
+class StoreCounters(msgspec.Struct):
     """Count the calls by kind and how many of them failed."""
 
     reads: int = 0
@@ -179,12 +165,11 @@
     failed: int = 0
 
 
-@dataclass(slots=True)
-class _Range:
+class _Range(msgspec.Struct):
     prefix: str
     stale: bool
     on_reply: OnReply
-    items: list[Item] = field(default_factory=list)
+    items: list[Item] = msgspec.field(default_factory=list)
     revision: int | None = None
 
 
--- a/bamboodeck/platform/words.py
+++ b/bamboodeck/platform/words.py
@@ -35,3 +35,5 @@
 OWN_PREFIX = 'bamboodeck/'
 
 SETTINGS_VARIABLE = 'BAMBOODECK_SETTINGS'
+# Our own, set in deploy/system.toml, which names the port to the platform.
+METRICS_PORT_VARIABLE = 'BAMBOODECK_METRICS_PORT'
