Let connections of a new process wait for its first configuration

Cause: a host that came back refused its first callers with 503 until the store's answer was there, some 20 ms later, and they returned late; and each host asked the store every two seconds besides its events.

--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -38,6 +38,9 @@
 STOP_CHECK_S = 0.05
 DRAIN_LOG_S = 0.1
 LOG_SECOND_S = 1.0
+# A new process lets connections wait for its first configuration, which takes
+# the store some milliseconds, at most this long: an eighth of a short target.
+LONGEST_HOLD_S = 0.2
 # After this a host that came back has caught up with its callers.
 LOAD_METRICS_AFTER_S = 5.0
 
@@ -97,6 +100,7 @@
             settings.callers_listen,
             self.traffic.handle,
             max_connections=max(int(open_descriptors * CALLER_PART), 16),
+            accepting=False,
         )
         self.ready = RelayServer(
             self.loop,
@@ -127,6 +131,10 @@
         settings = self.context.settings
         self.loop.stop_by(self.stop)
         self.discovery.start()
+        self.loop.scheduler.call_after(
+            LONGEST_HOLD_S,
+            self.callers.start_accepting,
+        )
         self.fleet.start(self.guide)
         scheduler = self.loop.scheduler
         scheduler.call_every(DRAIN_LOG_S, self.output.drain)
@@ -187,6 +195,8 @@
 
     def _on_configuration(self) -> None:
         self.callers.limits = self.context.configuration.limits
+        # Engines are listed beside the configuration: once all is read.
+        self.loop.scheduler.call_after(0, self.callers.start_accepting)
 
     def _bound_log(self) -> None:
         left_out = self.output.start_second()
--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -38,12 +38,12 @@
 )
 from bamboodeck.gateway.rollout_guide import RolloutGuide
 
-# A connection that went silent is noticed within this, so that news still
-# comes within the bound for configurations.
-WAIT_S = 2.0
+# A silent connection is noticed by its keep-alive probes, so a call may wait
+# long; each one costs as much as any.
+WAIT_S = 10.0
 # Changes that come together are read together: an engine's news may be this
 # much late, a tenth of the drain bound.
-COALESCE_S = 0.1
+COALESCE_S = 0.25
 # Calls to a store that doesn't answer, the first soon, the others bounded.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
--- a/bamboodeck/http/relay_server.py
+++ b/bamboodeck/http/relay_server.py
@@ -19,6 +19,7 @@
     RequestIntake,
 )
 from bamboodeck.http.messages import Address, Header
+from bamboodeck.loop.poller import Watch
 from bamboodeck.loop.program import Loop
 
 # Longer than the burst of new connections when a neighbour is restarted.
@@ -180,8 +181,12 @@
         on_request: RelayHandler,
         *,
         max_connections: int,
+        accepting: bool = True,
     ) -> None:
-        """Listen; port 0 takes a free port."""
+        """Listen; port 0 takes a free port.
+
+        Without `accepting`, connections wait until `start_accepting`.
+        """
         self.limits = CallerLimits()
         self.stopping = False
         self.connections: dict[Connection, _Client] = {}
@@ -194,12 +199,10 @@
         self._sock.listen(LISTEN_BACKLOG)
         self._sock.setblocking(False)
         self.address = Address(address.host, self._sock.getsockname()[1])
-        self._watch = loop.poller.watch(
-            self._sock.fileno(),
-            self._accept,
-            _ignore,
-        )
+        self._watch: Watch | None = None
         self._listening = True
+        if accepting:
+            self.start_accepting()
         loop.scheduler.call_every(SWEEP_PERIOD_S, self._sweep)
 
     @property
@@ -209,12 +212,22 @@
             client.exchange is not None for client in self.connections.values()
         )
 
+    def start_accepting(self) -> None:
+        """Take the connections that wait, and new ones."""
+        if self._watch is None and self._listening:
+            self._watch = self._loop.poller.watch(
+                self._sock.fileno(),
+                self._accept,
+                _ignore,
+            )
+
     def stop_accepting(self) -> None:
         """Take no new connection and close each after its answer."""
         self.stopping = True
         if self._listening:
             self._listening = False
-            self._loop.poller.unwatch(self._watch)
+            if self._watch is not None:
+                self._loop.poller.unwatch(self._watch)
             self._sock.close()
         for client in list(self.connections.values()):
             busy = client.exchange is not None or client.queue
