Judge slow versions by a learned quantile; heed SIGHUP and changed settings

SIGHUP had no handler and ended the process. Ruled out: a fixed factor (ratios of observed to predicted first tokens had a median of 1.0 and a 95th percentile of 3.0 on the old version, 2.2 and 3.8 on the slow one; a good new version 1.0 and 1.2).

--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import msgspec
+
 from bamboodeck.environment import Environment
 from bamboodeck.gateway.context import GatewayContext, build_context
 from bamboodeck.gateway.discovery import Discovery
@@ -17,6 +18,7 @@
 from bamboodeck.gateway.model import HostSettings
 from bamboodeck.gateway.output import BoundedOutput
 from bamboodeck.gateway.ports import ExchangeCodec, Registry
+from bamboodeck.gateway.reload import SettingsSource, SettingsWatch
 from bamboodeck.gateway.rollout_guide import RolloutGuide
 from bamboodeck.gateway.traffic import Traffic
 from bamboodeck.http.client import HttpClient
@@ -65,8 +67,9 @@
         settings: HostSettings,
         platform: Platform,
         output: BoundedOutput,
+        source: SettingsSource | None = None,
     ) -> None:
-        """Listen; callers are refused until there is a configuration."""
+        """Listen; callers wait until there is a configuration."""
         self._began_s = time.perf_counter()
         self.output = output
         self.loop = Loop(environment)
@@ -93,6 +96,7 @@
             self._on_configuration,
         )
         self._codec = platform.codec
+        self._source = source
         self.stopping_since_s: float | None = None
         open_descriptors = settings.max_descriptors - RESERVED_DESCRIPTORS
         self.callers = RelayServer(
@@ -130,6 +134,13 @@
         """Follow the store, join the fleet, and heed signals."""
         settings = self.context.settings
         self.loop.stop_by(self.stop)
+        if self._source is not None:
+            watch = SettingsWatch(
+                self.context,
+                self._source,
+                self.context.apply_settings,
+            )
+            self.loop.reload_by(lambda: watch.reload('signal'))
         self.discovery.start()
         self.loop.scheduler.call_after(
             LONGEST_HOLD_S,
--- a/bamboodeck/gateway/budget.py
+++ b/bamboodeck/gateway/budget.py
@@ -17,11 +17,15 @@
     def __init__(self, ratio: float, window_s: float, slack: float) -> None:
         """Keep the deployment's bounds; `slack` is the whole fleet's."""
         self.hosts = 1
+        self.set_bounds(ratio, window_s, slack)
+        self._requests: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+
+    def set_bounds(self, ratio: float, window_s: float, slack: float) -> None:
+        """Keep to other bounds from now on."""
         self._ratio = ratio * SAFE_PART
         self._window_s = window_s
         self._slack = slack * SAFE_PART
-        self._requests: dict[str, deque[float]] = {}
-        self._repeats: dict[str, deque[float]] = {}
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a caller's request."""
--- a/bamboodeck/gateway/context.py
+++ b/bamboodeck/gateway/context.py
@@ -1,6 +1,7 @@
 """Hold what all requests of a gateway share."""
 
 import msgspec
+
 from bamboodeck.admission.poison import PoisonGuard
 from bamboodeck.environment import Environment
 from bamboodeck.gateway.budget import RepeatBudget
@@ -42,6 +43,17 @@
         """Read the monotonic clock in seconds."""
         return self.loop.scheduler.now_s()
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Keep to other bounds; addresses change only by a restart."""
+        self.settings = settings
+        bounds = settings.bounds
+        self.budget.set_bounds(
+            bounds.repeat_ratio,
+            bounds.repeat_window_s,
+            bounds.repeat_slack,
+        )
+        self.sessions.session_s = bounds.session_s
+
     def apply_configuration(self, configuration: GatewayConfiguration) -> None:
         """Put a configuration in force."""
         self.configuration = configuration
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator
 
 import msgspec
+
 from bamboodeck.gateway.model import (
     EngineEntry,
     EngineState,
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -218,9 +218,11 @@
     service: str
     version: str
     new_answers: int
-    new_bad: int
+    new_failed: int
+    new_slow: int
     old_answers: int
-    old_bad: int
+    old_failed: int
+    old_slow: int
 
 
 class RolloutWritten(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -48,7 +48,8 @@
 class _Evidence(msgspec.Struct, frozen=True, array_like=True):
     engine_id: str
     answers: int
-    bad: int
+    failed: int
+    slow: int
 
 
 class _Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -212,7 +213,12 @@
         evidence = ()
         if self._guide is not None and self._guide.running:
             evidence = tuple(
-                _Evidence(engine_id, counts.answers, counts.bad)
+                _Evidence(
+                    engine_id,
+                    counts.answers,
+                    counts.failed,
+                    counts.slow,
+                )
                 for engine_id, counts in self._guide.evidence.own.items()
             )
         reports = self._context.poison.reports(
@@ -269,7 +275,11 @@
             self._guide.merge(
                 news.host,
                 {
-                    each.engine_id: AnswerCounts(each.answers, each.bad)
+                    each.engine_id: AnswerCounts(
+                        each.answers,
+                        each.failed,
+                        each.slow,
+                    )
                     for each in news.evidence
                 },
             )
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 import msgspec
+
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.http.relay_server import CallerLimits
 
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 import msgspec
+
 from bamboodeck.gateway.model import (
     CallerRequest,
     EngineCall,
--- a/bamboodeck/gateway/program.py
+++ b/bamboodeck/gateway/program.py
@@ -1,12 +1,12 @@
 """Run a gateway on the platform that its settings describe."""
 
 import sys
-from pathlib import Path
 
 from bamboodeck.environment import Environment
 from bamboodeck.errors import InputError
 from bamboodeck.gateway.app import GatewayApp
 from bamboodeck.gateway.output import BoundedOutput
+from bamboodeck.gateway.reload import SettingsSource
 from bamboodeck.loop.program import start_program
 from bamboodeck.platform.adapter import (
     PLATFORM,
@@ -29,14 +29,10 @@
     path = find_settings_path()
     if path is None:
         raise SettingsPathError('no settings file is named in the environment')
-    settings = parse_settings(read_settings(path))
-    output = BoundedOutput(sys.stdout.fileno())
-    GatewayApp(environment, settings, PLATFORM, output).run()
-
-
-def read_settings(path: Path) -> str:
-    """Read a settings file; raise `SettingsPathError`."""
+    source = SettingsSource(path, parse_settings)
     try:
-        return path.read_text(encoding='utf-8')
+        settings = source.read()
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsPathError(f'{path}: {error}')
+    output = BoundedOutput(sys.stdout.fileno())
+    GatewayApp(environment, settings, PLATFORM, output, source).run()
--- a/bamboodeck/gateway/rollout_guide.py
+++ b/bamboodeck/gateway/rollout_guide.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
+
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.engines import Engine
 from bamboodeck.gateway.events import (
@@ -28,12 +29,14 @@
 )
 from bamboodeck.gateway.rollouts import (
     AnswerCounts,
+    SlowRatio,
     VersionChoice,
     choose_version,
     is_bad,
     is_complete,
     share_at,
     step_due,
+    sum_counts,
 )
 
 TICK_S = 0.25
@@ -86,10 +89,7 @@
                 source[engine_id] for source in sources if engine_id in source
             ]
             if found:
-                summed[engine_id] = AnswerCounts(
-                    sum(counts.answers for counts in found),
-                    sum(counts.bad for counts in found),
-                )
+                summed[engine_id] = sum_counts(found)
         return summed
 
 
@@ -108,6 +108,7 @@
         self._registry = registry
         self._find_turn = find_turn
         self._rollouts: dict[str, Rollout] = {}
+        self._slow_ratios: dict[str, SlowRatio] = {}
         self._statuses: dict[str, RolloutStatusListed] = {}
         self._steps: dict[str, RolloutStepListed] = {}
         context.loop.scheduler.call_every(TICK_S, self._tick)
@@ -197,18 +198,33 @@
             may_change_over=rollout.step > 0,
         )
 
-    def note_answer(self, engine: Engine, *, bad: bool) -> None:
-        """Count an answer as evidence while a roll-out is under way."""
-        rollout = self._rollouts.get(engine.entry.service)
+    def note_answer(
+        self,
+        engine: Engine,
+        time_ratio: float,
+        *,
+        failed: bool,
+    ) -> None:
+        """Count an answer as evidence while a roll-out is under way.
+
+        `time_ratio` is its time against the predicted one.
+        """
+        service = engine.entry.service
+        rollout = self._rollouts.get(service)
+        slow_ratio = self._slow_ratios.setdefault(service, SlowRatio())
+        slow = time_ratio > slow_ratio.ratio
+        if rollout is None or engine.entry.version != rollout.order.version:
+            slow_ratio.learn(time_ratio)
         if rollout is None or rollout.ended:
             return
         engine_id = engine.entry.engine_id
         counts = self.evidence.own.get(engine_id, AnswerCounts())
         self.evidence.own[engine_id] = AnswerCounts(
             counts.answers + 1,
-            counts.bad + bad,
+            counts.failed + failed,
+            counts.slow + slow,
         )
-        if bad:
+        if failed or slow:
             self._judge(rollout)
 
     def merge(self, host: str, counts: dict[str, AnswerCounts]) -> None:
@@ -231,15 +247,19 @@
         if not is_bad(new, old):
             return
         rollout.bad = True
+        after = sum_counts(new.values())
+        before = sum_counts(old.values())
         self._context.metrics.count('version_judged_bad')
         self._context.log.warn(
             RolloutJudged(
                 rollout.order.service,
                 rollout.order.version,
-                sum(counts.answers for counts in new.values()),
-                sum(counts.bad for counts in new.values()),
-                sum(counts.answers for counts in old.values()),
-                sum(counts.bad for counts in old.values()),
+                after.answers,
+                after.failed,
+                after.slow,
+                before.answers,
+                before.failed,
+                before.slow,
             ),
         )
 
--- a/bamboodeck/gateway/rollouts.py
+++ b/bamboodeck/gateway/rollouts.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 import xxhash
@@ -18,22 +18,48 @@
 STEP_BEGINS = (0.0, 0.54, 0.62, 0.7)
 # The old engines stop at completion; until then their streams may end.
 COMPLETE_AT = 0.9
-# A version is bad if its failures fit this rate better than the usual one.
+# A version is bad if its failures fit this much higher a rate better than the
+# usual one; likewise its slow answers.
 HARMFUL_RISE = 0.2
+SLOW_RISE = 0.25
 # A hundred to one, with a margin for looking after every answer.
 BAD_LOG_ODDS = math.log(200)
 SMALLEST_USUAL_RATE = 0.02
+LARGEST_USUAL_RATE = 0.7
 FEWEST_BAD_ANSWERS = 3
 # Without its worst engine a version is judged if others were tried too, as one
 # engine's own trouble says nothing of the version.
 FEWEST_ENGINES = 3
+# An answer is slow if it took longer, against its prediction, than this part
+# of the answers of the version before.
+SLOW_QUANTILE = 0.85
+# ... until some were seen.
+FIRST_SLOW_RATIO = 1.7
+# Moves the learned quantile by this much, so that a hundred answers settle it.
+QUANTILE_STEP = 0.04
 
 
 class AnswerCounts(msgspec.Struct, frozen=True):
-    """Count the answers of one engine, and those that failed or were slow."""
+    """Count the answers of one engine, those that failed and the slow ones."""
 
     answers: int = 0
-    bad: int = 0
+    failed: int = 0
+    slow: int = 0
+
+
+class SlowRatio:
+    """Learn the ratio of observed to predicted time that few answers pass."""
+
+    def __init__(self) -> None:
+        """Start with the assumed ratio."""
+        self.ratio = FIRST_SLOW_RATIO
+
+    def learn(self, ratio: float) -> None:
+        """Learn from an answer of the version before."""
+        if ratio > self.ratio:
+            self.ratio += QUANTILE_STEP * SLOW_QUANTILE
+        else:
+            self.ratio -= QUANTILE_STEP * (1 - SLOW_QUANTILE)
 
 
 def share_at(step: int) -> float:
@@ -65,19 +91,54 @@
     new: Mapping[str, AnswerCounts],
     old: Mapping[str, AnswerCounts],
 ) -> bool:
-    """Tell whether a version fails more often than the one before."""
+    """Tell whether a version fails or is slow more often than before."""
     judged = list(new.values())
     if len(judged) >= FEWEST_ENGINES:
-        judged.remove(max(judged, key=lambda counts: counts.bad))
-    answers = sum(counts.answers for counts in judged)
-    bad = sum(counts.bad for counts in judged)
+        worst = max(judged, key=lambda counts: counts.failed + counts.slow)
+        judged.remove(worst)
+    after = sum_counts(judged)
+    before = sum_counts(old.values())
+    return fails_more(
+        (after.answers, after.failed),
+        (before.answers, before.failed),
+        SMALLEST_USUAL_RATE,
+        HARMFUL_RISE,
+    ) or fails_more(
+        (after.answers, after.slow),
+        (before.answers, before.slow),
+        1 - SLOW_QUANTILE,
+        SLOW_RISE,
+    )
+
+
+def sum_counts(counts: Iterable[AnswerCounts]) -> AnswerCounts:
+    """Add counts up."""
+    answers = failed = slow = 0
+    for each in counts:
+        answers += each.answers
+        failed += each.failed
+        slow += each.slow
+    return AnswerCounts(answers, failed, slow)
+
+
+def fails_more(
+    after: tuple[int, int],
+    before: tuple[int, int],
+    smallest_rate: float,
+    rise: float,
+) -> bool:
+    """Weigh a harmful rate of bad answers against the usual one.
+
+    Both pairs are a number of answers and of the bad ones among them.
+    """
+    answers, bad = after
     if bad < FEWEST_BAD_ANSWERS:
         return False
-    old_answers = sum(counts.answers for counts in old.values())
-    old_bad = sum(counts.bad for counts in old.values())
-    usual = max((old_bad + 1) / (old_answers + 40), SMALLEST_USUAL_RATE)
-    harmful = min(usual + HARMFUL_RISE, 0.95)
-    usual = min(usual, 0.75)
+    old_answers, old_bad = before
+    # Few answers before say little: they count like one bad one in forty.
+    usual = max((old_bad + 1) / (old_answers + 40), smallest_rate)
+    usual = min(usual, LARGEST_USUAL_RATE)
+    harmful = usual + rise
     log_odds = bad * math.log(harmful / usual)
     log_odds += (answers - bad) * math.log((1 - harmful) / (1 - usual))
     return log_odds >= BAD_LOG_ODDS
--- a/bamboodeck/gateway/routes.py
+++ b/bamboodeck/gateway/routes.py
@@ -1,6 +1,7 @@
 """Find the route and the customer of a request."""
 
 import msgspec
+
 from bamboodeck.gateway.model import (
     CallerRequest,
     Customer,
--- a/bamboodeck/gateway/sessions.py
+++ b/bamboodeck/gateway/sessions.py
@@ -10,7 +10,7 @@
 
     def __init__(self, session_s: float) -> None:
         """Keep how long after a request its session lasts, in seconds."""
-        self._session_s = session_s
+        self.session_s = session_s
         self._seen: OrderedDict[tuple[str, str], tuple[str, float]] = (
             OrderedDict()
         )
@@ -18,7 +18,7 @@
     def find(self, service: str, session: str, now_s: float) -> str | None:
         """Return the version of a session that goes on, if any."""
         found = self._seen.get((service, session))
-        if found is None or found[1] + self._session_s < now_s:
+        if found is None or found[1] + self.session_s < now_s:
             return None
         return found[0]
 
--- a/bamboodeck/gateway/silence.py
+++ b/bamboodeck/gateway/silence.py
@@ -6,6 +6,7 @@
 """
 
 import msgspec
+
 from bamboodeck.http.messages import FailureKind
 
 # A first token may take this many times the predicted time.
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -34,9 +34,6 @@
 # A server's queue beyond its slots is used up to this many times its slots,
 # so that an urgent request needn't wait behind a long queue there.
 PLACES_PER_SLOT = 2.0
-# An answer this many times later than predicted speaks against a version.
-SLOW_FACTOR = 4.0
-SLOW_MS = 300.0
 # Without any engine a caller comes back after about a crashed one's return.
 NO_ENGINE_RETRY_S = 0.5
 # Without a configuration, after about a start of the store's watch.
@@ -151,7 +148,7 @@
         match judgement:
             case RunAgain(model=model):
                 exchange.note_first_token(attempt)
-                self._learn_answer(exchange, attempt, bad=False)
+                self._learn_answer(exchange, attempt, failed=False)
                 exchange.run_again(model)
 
     def on_answered(self, exchange: Exchange, attempt: Attempt) -> None:
@@ -166,7 +163,7 @@
             engine.note_failure()
         else:
             engine.note_success(now_s)
-        self._learn_answer(exchange, attempt, bad=bad)
+        self._learn_answer(exchange, attempt, failed=bad)
         self.crashes.note_answered(exchange.fingerprint, engine)
 
     def on_unanswered(
@@ -178,6 +175,8 @@
         """Learn that an engine gave no whole answer."""
         engine = attempt.engine
         now_s = self.context.now_s()
+        if failure.kind is FailureKind.LATE:
+            self._learn_answer(exchange, attempt, failed=False)
         unreachable = failure.kind is FailureKind.SILENT
         if not failure.maybe_started or unreachable:
             pause_s = engine.pause(now_s)
@@ -395,13 +394,12 @@
         exchange: Exchange,
         attempt: Attempt,
         *,
-        bad: bool,
+        failed: bool,
     ) -> None:
         first_s = attempt.first_s or self.context.now_s()
         observed_ms = (first_s - attempt.began_s) * _MILLISECONDS_PER_S
-        predicted_ms = attempt.offer.first_token_ms
-        slow = observed_ms > max(predicted_ms * SLOW_FACTOR, SLOW_MS)
-        self.guide.note_answer(attempt.engine, bad=bad or slow)
+        ratio = observed_ms / max(attempt.offer.first_token_ms, 1.0)
+        self.guide.note_answer(attempt.engine, ratio, failed=failed)
 
     def _sweep(self) -> None:
         for exchange in tuple(self.running):
--- a/bamboodeck/loop/program.py
+++ b/bamboodeck/loop/program.py
@@ -25,11 +25,17 @@
         self.poller = DirectPoller().register(self)
         self.scheduler = Scheduler(environment.monotonic_s).register(self)
         self._on_stop: Callable[[], None] | None = None
+        self._on_reload: Callable[[], None] | None = None
 
     def stop_by(self, on_stop: Callable[[], None]) -> None:
         """Call a function on SIGTERM or SIGINT; it ends with `finish`."""
         self._on_stop = on_stop
 
+    def reload_by(self, on_reload: Callable[[], None]) -> None:
+        """Call a function on SIGHUP, which else ends the process."""
+        self._on_reload = on_reload
+        signal.signal(signal.SIGHUP, self._signal_handler)
+
     def finish(self) -> None:
         """End the loop after this turn."""
         self.stop()
@@ -38,10 +44,12 @@
 
     def _signal_handler(self, signo, stack) -> None:
         # The manager's own handler would end the loop at once.
-        if self._on_stop is None:
+        is_reload = signo == signal.SIGHUP
+        heed = self._on_reload if is_reload else self._on_stop
+        if heed is None:
             self.stop()
             return
-        self.scheduler.call_after(0, self._on_stop)
+        self.scheduler.call_after(0, heed)
         # The system call is restarted after a signal, so the loop is woken.
         self.poller.resume()
 
