Give a call that waits at the store up within the stability window

Ruled out: keep-alive probes, which the silent store's connections answer. Conclusion: the wait follows the deployment's stability window.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -38,9 +38,10 @@
 )
 from bamboodeck.gateway.rollout_guide import RolloutGuide
 
-# A silent connection is noticed by its keep-alive probes, so a call may wait
-# long; each one costs as much as any.
-WAIT_S = 10.0
+# A store that went silent forgets the calls that wait. Each is given up within
+# the time after which a host has to follow the store again.
+ANSWER_SLACK_S = 1.0
+SHORTEST_WAIT_S = 1.0
 # Changes that come together are read together: an engine's news may be this
 # much late, a tenth of the drain bound.
 COALESCE_S = 0.25
@@ -102,7 +103,9 @@
                 self._lose(reason)
 
     def _follow(self) -> None:
-        self._registry.wait_for_changes(self.revision, WAIT_S, self._take)
+        stability_s = self._context.settings.bounds.stability_s
+        wait_s = max(stability_s - ANSWER_SLACK_S, SHORTEST_WAIT_S)
+        self._registry.wait_for_changes(self.revision, wait_s, self._take)
 
     def _lose(self, reason: str) -> None:
         now_s = self._context.now_s()
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -23,7 +23,7 @@
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 # How much later than asked a watch may end before its connection is given up.
-WATCH_SLACK_S = 1.5
+WATCH_SLACK_S = 1.0
 
 _MILLISECONDS_PER_S = 1000
 _JSON = (Header('Content-Type', 'application/json'),)
