Stand in for the platform's store and engines; test the gateway's path

Cause: the new path had no tests that run without the bench. Ruled out: nothing. After: 27 tests over a store, engines and gateways on loops of one process. They showed two faults: a request that had failed on every engine gave up with an attempt left, and an engine whose address another one has was asked again and again; both mended.

--- /dev/null
+++ b/bamboodeck/fakes/platform/engine.py
@@ -0,0 +1,219 @@
+"""Stand in for the platform's engines, with failures on demand."""
+
+import enum
+from collections import deque
+from http import HTTPStatus
+
+import msgspec
+
+from bamboodeck.http.intake import ParsedRequest
+from bamboodeck.http.messages import Address, Header
+from bamboodeck.http.relay_server import RelayExchange, RelayServer
+from bamboodeck.loop.program import Loop
+from bamboodeck.platform import words
+
+DEFAULT_EVENTS = 5
+
+_EXTRA_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra'
+
+
+@enum.unique
+class EngineFault(enum.Enum):
+    """Name what an engine does wrong with one request."""
+
+    ERROR = 'error'
+    SHED = 'shed'
+    # The connection closes after two events, or without an answer.
+    CUT = 'cut'
+    HANG = 'hang'
+    # The stream stops after two events and stays open.
+    STALL = 'stall'
+    WRONG_ID = 'wrong-id'
+    NO_STAMP = 'no-stamp'
+    # Two answers to one request.
+    EXTRA = 'extra'
+
+
+class EngineRun(msgspec.Struct):
+    """Record a request that reached the engine, and how it ended."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    ended: str = ''
+
+
+class EngineBehaviour(msgspec.Struct):
+    """Hold how an engine answers."""
+
+    step_s: float = 0.0
+    events: int = DEFAULT_EVENTS
+    confidences: dict[str, int] = {}
+
+
+class PlatformEngineFake:
+    """Answer plain calls and streams, and record what was run."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        engine_id: str,
+        behaviour: EngineBehaviour | None = None,
+    ) -> None:
+        """Listen; port 0 takes a free port."""
+        self.engine_id = engine_id
+        self.behaviour = behaviour or EngineBehaviour()
+        self.faults: deque[EngineFault] = deque()
+        self.runs: list[EngineRun] = []
+        self._loop = loop
+        self._server = RelayServer(
+            loop,
+            address,
+            self._handle,
+            max_connections=1000,
+        )
+        self.address = self._server.address
+
+    def entry(self, service: str, zone: str, **fields: object) -> bytes:
+        """Write what the engine says of itself in the registry."""
+        return msgspec.json.encode(
+            {
+                'service': service,
+                'address': str(self.address),
+                'zone': zone,
+                'version': 'v1',
+                'slots': 8,
+                'state': 'ready',
+                'cold_remaining_ms': 0,
+                'sequence': 1,
+                'born': 1,
+                **fields,
+            },
+        )
+
+    def stop(self) -> None:
+        """Close every connection, as a crash does."""
+        self._server.stop_accepting()
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    def _handle(self, parsed: ParsedRequest, responder: RelayExchange) -> None:
+        headers = dict(parsed.headers)
+        request_id = headers.get(words.REQUEST_ID.lower(), '')
+        if headers.get(words.EXPECT_INSTANCE.lower()) != self.engine_id:
+            responder.respond(HTTPStatus.MISDIRECTED_REQUEST)
+            return
+        fault = self.faults.popleft() if self.faults else None
+        if fault is EngineFault.SHED:
+            not_run = Header(words.NOT_EXECUTED, '1')
+            responder.respond(HTTPStatus.SERVICE_UNAVAILABLE, (not_run,))
+            return
+        run = EngineRun(
+            request_id,
+            parsed.method,
+            parsed.target,
+            headers,
+            parsed.body,
+        )
+        self.runs.append(run)
+        responder.on_aborted = lambda: _end(run, 'cancelled')
+        answer_id = 'other' if fault is EngineFault.WRONG_ID else request_id
+        head = [Header(words.REQUEST_ID, answer_id)]
+        if fault is not EngineFault.NO_STAMP:
+            head.append(Header(words.STAMP, f'stamp-{self.engine_id}'))
+        if words.MODEL.lower() in headers:
+            self._stream(run, responder, head, fault)
+        else:
+            self._answer(run, responder, head, fault)
+
+    def _answer(
+        self,
+        run: EngineRun,
+        responder: RelayExchange,
+        head: list[Header],
+        fault: EngineFault | None,
+    ) -> None:
+        if fault in {EngineFault.HANG, EngineFault.STALL}:
+            return
+        body = b'%b ran %b' % (self.engine_id.encode(), run.request_id.encode())
+
+        def finish() -> None:
+            if responder.done:
+                return
+            match fault:
+                case EngineFault.CUT:
+                    _end(run, 'cut')
+                    responder.abort()
+                case EngineFault.ERROR:
+                    _end(run, 'error')
+                    failure = HTTPStatus.INTERNAL_SERVER_ERROR
+                    responder.respond(failure, head, b'failed')
+                case _:
+                    _end(run, 'whole')
+                    responder.respond(HTTPStatus.OK, head, body)
+
+        self._loop.scheduler.call_after(self.behaviour.step_s, finish)
+
+    def _stream(
+        self,
+        run: EngineRun,
+        responder: RelayExchange,
+        head: list[Header],
+        fault: EngineFault | None,
+    ) -> None:
+        if fault is EngineFault.HANG:
+            return
+        if fault is EngineFault.ERROR:
+            _end(run, 'error')
+            failure = HTTPStatus.INTERNAL_SERVER_ERROR
+            responder.respond(failure, head, b'failed')
+            return
+        model = run.headers[words.MODEL.lower()]
+        confidence = self.behaviour.confidences.get(model, 100)
+        head.append(Header('Content-Type', 'text/event-stream'))
+        head.append(Header(words.CONFIDENCE, str(confidence)))
+        first = int(run.headers.get(words.LAST_EVENT_ID.lower(), '0')) + 1
+        responder.start(HTTPStatus.OK, tuple(head))
+        self._send_events(run, responder, first, fault)
+
+    def _send_events(
+        self,
+        run: EngineRun,
+        responder: RelayExchange,
+        number: int,
+        fault: EngineFault | None,
+    ) -> None:
+        if responder.done:
+            return
+        if number > self.behaviour.events:
+            _end(run, 'whole')
+            responder.end()
+            if fault is EngineFault.EXTRA:
+                self._add_answer()
+            return
+        if number > 2 and fault is EngineFault.CUT:
+            _end(run, 'cut')
+            # An engine that breaks off may stop in the middle of an event.
+            responder.send(b'id: %d\nda' % number)
+            responder.abort()
+            return
+        if number > 2 and fault is EngineFault.STALL:
+            return
+        responder.send(b'id: %d\ndata: piece %d\n\n' % (number, number))
+        self._loop.scheduler.call_after(
+            self.behaviour.step_s,
+            lambda: self._send_events(run, responder, number + 1, fault),
+        )
+
+    def _add_answer(self) -> None:
+        for connection, client in self._server.connections.items():
+            if client.exchange is None:
+                connection.write(_EXTRA_ANSWER)
+
+
+def _end(run: EngineRun, how: str) -> None:
+    if not run.ended:
+        run.ended = how
--- /dev/null
+++ b/bamboodeck/fakes/platform/store.py
@@ -0,0 +1,287 @@
+"""Stand in for the platform's store: keys, watches, leases, conditions."""
+
+import base64
+import enum
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from bamboodeck.fakes.key_value.store import (
+    KEY_END,
+    KeyRange,
+    KeyValue,
+    LeaseNotFoundError,
+    RevisionedStore,
+    StoreEvent,
+)
+from bamboodeck.http.intake import ParsedRequest
+from bamboodeck.http.messages import Address, Header
+from bamboodeck.http.relay_server import RelayExchange, RelayServer
+from bamboodeck.loop.program import Loop
+from bamboodeck.platform import words
+
+MAX_VALUE_BYTES = 1_048_576
+PAGE_ITEMS = 50
+EXPIRY_PERIOD_S = 0.1
+MILLISECONDS_PER_S = 1000
+
+_JSON = (Header('Content-Type', 'application/json'),)
+
+
+@enum.unique
+class StoreMood(enum.Enum):
+    """Tell how the store treats its callers."""
+
+    SERVES = 'serves'
+    # Calls come in and are never answered, also after the store serves again.
+    SILENT = 'silent'
+    REFUSES = 'refuses'
+    # Changes are made and not answered.
+    LOSES_ANSWERS = 'loses-answers'
+
+
+class _Waiting(msgspec.Struct):
+    prefix: str
+    after: int
+    responder: Any
+    done: bool = False
+
+
+class PlatformStoreFake:
+    """Keep keys in memory and speak the platform's store protocol."""
+
+    def __init__(self, loop: Loop, address: Address) -> None:
+        """Listen; port 0 takes a free port."""
+        self.mood = StoreMood.SERVES
+        self.calls: dict[str, int] = {}
+        self._loop = loop
+        self._store = RevisionedStore(MAX_VALUE_BYTES)
+        self._waiting: list[_Waiting] = []
+        self._compacted = 0
+        self._server = RelayServer(
+            loop,
+            address,
+            self._handle,
+            max_connections=1000,
+        )
+        self.address = self._server.address
+        loop.scheduler.call_every(EXPIRY_PERIOD_S, self._expire)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last change."""
+        return self._store.revision
+
+    def put(self, key: str, content: bytes) -> None:
+        """Write a key, as operators and engines do."""
+        self._store.next_revision()
+        self._store.put(key.encode(), content, 0)
+        self._feed()
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self._store.next_revision()
+        self._store.delete(KeyRange(key.encode()))
+        self._feed()
+
+    def read(self, key: str) -> bytes | None:
+        """Return what lies under a key."""
+        found = self._store.read(KeyRange(key.encode()))
+        return found[0].body if found else None
+
+    def forget_history(self) -> None:
+        """Refuse watches from before now, and cut those that wait."""
+        self._compacted = self._store.revision
+        for waiting in self._waiting:
+            waiting.responder.abort()
+        self._waiting.clear()
+
+    def _handle(self, parsed: ParsedRequest, responder: RelayExchange) -> None:
+        self.calls[parsed.path] = self.calls.get(parsed.path, 0) + 1
+        match self.mood:
+            case StoreMood.SILENT:
+                return
+            case StoreMood.REFUSES:
+                responder.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+                return
+        query = {
+            name: texts[0] for name, texts in parse_qs(parsed.query).items()
+        }
+        answers: dict[str, Callable[[], None]] = {
+            words.RANGE_PATH: lambda: self._read_range(query, responder),
+            words.WATCH_PATH: lambda: self._watch(query, responder),
+            words.COMMIT_PATH: lambda: self._commit(parsed.body, responder),
+            words.GRANT_PATH: lambda: self._grant(parsed.body, responder),
+        }
+        if parsed.path.startswith(f'{words.RENEW_PATH}/'):
+            self._renew(int(parsed.path.rpartition('/')[2]), responder)
+            return
+        answer = answers.get(parsed.path)
+        if answer is None:
+            responder.respond(HTTPStatus.NOT_FOUND)
+            return
+        answer()
+
+    def _read_range(
+        self,
+        query: dict[str, str],
+        responder: RelayExchange,
+    ) -> None:
+        after = query.get('after', '').encode()
+        found = [
+            entry
+            for entry in self._store.read(_range_of(query.get('prefix', '')))
+            if entry.key > after or not after
+        ]
+        self._respond(
+            responder,
+            {
+                'entries': [_describe(entry) for entry in found[:PAGE_ITEMS]],
+                'has_more': len(found) > PAGE_ITEMS,
+                'store_revision': self._store.revision,
+            },
+        )
+
+    def _watch(self, query: dict[str, str], responder: RelayExchange) -> None:
+        after = int(query['after'])
+        if after < self._compacted:
+            responder.respond(HTTPStatus.GONE)
+            return
+        waiting = _Waiting(query.get('prefix', ''), after, responder)
+        self._waiting.append(waiting)
+        wait_s = int(query['wait_ms']) / MILLISECONDS_PER_S
+        self._loop.scheduler.call_after(
+            wait_s,
+            lambda: self._answer_watch(waiting, ()),
+        )
+        self._feed()
+
+    def _commit(self, body: bytes, responder: RelayExchange) -> None:
+        change = msgspec.json.decode(body)
+        current = {
+            row['key']: self._store.read(KeyRange(row['key'].encode()))
+            for row in change['if_revision']
+        }
+        for row in change['if_revision']:
+            found = current[row['key']]
+            if (found[0].mod_revision if found else 0) != row['revision']:
+                entries = [
+                    _describe(each[0]) for each in current.values() if each
+                ]
+                self._respond(
+                    responder,
+                    {'entries': entries},
+                    HTTPStatus.PRECONDITION_FAILED,
+                )
+                return
+        for put in change['puts']:
+            if put.get('lease', 0) and put['lease'] not in self._store.leases:
+                responder.respond(HTTPStatus.NOT_FOUND)
+                return
+        self._store.next_revision()
+        for put in change['puts']:
+            self._store.put(
+                put['key'].encode(),
+                base64.b64decode(put['value']),
+                put.get('lease', 0),
+            )
+        for key in change['remove']:
+            self._store.delete(KeyRange(key.encode()))
+        self._feed()
+        self._respond(responder, {'revision': self._store.revision})
+
+    def _grant(self, body: bytes, responder: RelayExchange) -> None:
+        ttl_ms = msgspec.json.decode(body)['ttl_ms']
+        lease = self._store.grant(
+            0,
+            ttl_ms / MILLISECONDS_PER_S,
+            self._loop.scheduler.now_s(),
+        )
+        answer = {'lease': lease.lease_id, 'ttl_ms': ttl_ms}
+        self._respond(responder, answer)
+
+    def _renew(self, lease_id: int, responder: RelayExchange) -> None:
+        now_s = self._loop.scheduler.now_s()
+        lease = self._store.keep(lease_id, now_s)
+        if lease is None:
+            responder.respond(HTTPStatus.NOT_FOUND)
+            return
+        ttl_ms = int(lease.ttl_s * MILLISECONDS_PER_S)
+        self._respond(responder, {'ttl_ms': ttl_ms})
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease early; its keys are removed."""
+        try:
+            self._store.revoke(lease_id)
+        except LeaseNotFoundError:
+            return
+        self._feed()
+
+    def _expire(self) -> None:
+        if self._store.expire(self._loop.scheduler.now_s()):
+            self._feed()
+
+    def _feed(self) -> None:
+        for waiting in tuple(self._waiting):
+            events = [
+                _describe_event(event)
+                for event in self._store.events
+                if event.change.mod_revision > waiting.after
+                and event.change.key.startswith(waiting.prefix.encode())
+            ]
+            if events:
+                self._answer_watch(waiting, events)
+
+    def _answer_watch(self, waiting: _Waiting, events) -> None:
+        if waiting.done:
+            return
+        waiting.done = True
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+        if self.mood is StoreMood.SILENT:
+            return
+        self._respond(
+            waiting.responder,
+            {'events': list(events), 'store_revision': self._store.revision},
+        )
+
+    def _respond(
+        self,
+        responder: RelayExchange,
+        answer: dict[str, Any],
+        status: int = HTTPStatus.OK,
+    ) -> None:
+        if self.mood is StoreMood.LOSES_ANSWERS:
+            responder.abort()
+            return
+        responder.respond(status, _JSON, msgspec.json.encode(answer))
+
+
+def _range_of(prefix: str) -> KeyRange:
+    start = prefix.encode()
+    if not start:
+        return KeyRange(b'', KEY_END)
+    return KeyRange(start, start[:-1] + bytes((start[-1] + 1,)))
+
+
+def _describe(entry: KeyValue) -> dict[str, Any]:
+    return {
+        'key': entry.key.decode(),
+        'value': base64.b64encode(entry.body).decode(),
+        'revision': entry.mod_revision,
+        'created': entry.create_revision,
+        'lease': entry.lease_id,
+    }
+
+
+def _describe_event(event: StoreEvent) -> dict[str, Any]:
+    if event.deletion:
+        return {
+            'key': event.change.key.decode(),
+            'revision': event.change.mod_revision,
+            'deleted': True,
+        }
+    return _describe(event.change)
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -73,6 +73,9 @@
     ) -> None:
         """Learn that an engine gave no whole answer."""
 
+    def on_rejected(self, exchange: 'Exchange', attempt: Attempt) -> None:
+        """Learn that an engine has not run a request."""
+
     def on_ended(self, exchange: 'Exchange') -> None:
         """Learn that the exchange has ended."""
 
@@ -292,6 +295,7 @@
         """Judge an answer that is whole."""
         head = attempt.head
         if head.not_run:
+            self._owner.on_rejected(self, attempt)
             self.follow(attempt, FailureCause.NOT_RUN, 'rejected by engine')
             return
         self.delivery.take_end(attempt, head)
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -110,6 +110,11 @@
         """Return how many hosts serve, this one included."""
         return len(self.peers) + 1
 
+    def close(self) -> None:
+        """Tell and hear nothing more."""
+        self._context.loop.poller.unwatch(self._watch)
+        self._sock.close()
+
     def find_turn(self) -> int:
         """Return this host's place in the order of all hosts."""
         own = self._context.settings.host
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -211,6 +211,8 @@
     headers: tuple[Header, ...] = ()
     request_id: str | None = None
     not_run: bool = False
+    # Another engine has the address to which the request was sent.
+    misdirected: bool = False
     stamped: bool = False
     # The model's own opinion of its answer, from 0 to 100.
     confidence: int | None = None
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -196,6 +196,24 @@
         elif failure.kind is FailureKind.BROKEN and failure.maybe_started:
             self.crashes.note_broken(exchange.fingerprint, engine)
 
+    def on_rejected(self, exchange: Exchange, attempt: Attempt) -> None:
+        """Learn that an engine has not run a request."""
+        engine = attempt.engine
+        self.context.metrics.count('engine_rejected')
+        if not attempt.head.misdirected:
+            engine.note_failure()
+            return
+        # Another engine has the address; the registry will say so.
+        pause_s = engine.pause(self.context.now_s())
+        self.context.log.emit(
+            EnginePaused(
+                engine.entry.engine_id,
+                'another engine answers',
+                pause_s,
+                engine.requests,
+            ),
+        )
+
     def on_ended(self, exchange: Exchange) -> None:
         """Give the place of an ended exchange to the next."""
         self.running.discard(exchange)
@@ -315,7 +333,6 @@
         return any(
             not engine.leaving
             and not engine.unlisted
-            and exchange.may_use(engine)
             and engine.paused_until_s < horizon_s
             for engine in self.context.engines.of_service(exchange.service)
         )
@@ -358,12 +375,13 @@
         usable = [
             engine
             for engine in self.context.engines.of_service(exchange.service)
-            if engine.is_open(now_s) and exchange.may_use(engine)
+            if engine.is_open(now_s)
         ]
         fitting = [engine for engine in usable if _fits(engine, choice)]
-        if fitting or choice.strict:
-            return fitting
-        return usable
+        if not (fitting or choice.strict):
+            fitting = usable
+        # An engine that failed this request is better than none.
+        return [each for each in fitting if exchange.may_use(each)] or fitting
 
     def _offer(self, exchange: Exchange, model: str) -> Offer | None:
         return self.context.placer.choose(
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -139,6 +139,7 @@
         not_run=(
             words.NOT_EXECUTED.lower() in by_name or head.status == MISDIRECTED
         ),
+        misdirected=head.status == MISDIRECTED,
         stamped=words.STAMP.lower() in by_name,
         confidence=None if confidence is None else int(confidence),
     )
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -17,6 +17,7 @@
     HttpOutcome,
     HttpReply,
 )
+from bamboodeck.platform import words
 
 # Twenty times the store's usual answer of 4 ms, five times that when it is
 # slow; an answer later than this counts as lost.
@@ -203,7 +204,7 @@
         self.counters.watches += 1
         wait_ms = int(wait_s * _MILLISECONDS_PER_S)
         path = (
-            f'/api/kv-watch?prefix={quote(prefix, safe="")}'
+            f'{words.WATCH_PATH}?prefix={quote(prefix, safe="")}'
             f'&after={after_revision}&wait_ms={wait_ms}'
         )
 
@@ -247,7 +248,7 @@
                 reply = LeaseGone()
             self._hand_over(reply, on_reply)
 
-        self._call('POST', '/api/kv-txn', body, answer)
+        self._call('POST', words.COMMIT_PATH, body, answer)
 
     def grant_lease(self, ttl_s: float, on_reply: OnReply) -> None:
         """Ask for a lease that lasts at least a second."""
@@ -259,7 +260,7 @@
             reply = _refuse_unless_ok(outcome) or _read_lease(outcome)
             self._hand_over(reply, on_reply)
 
-        self._call('POST', '/api/kv-lease', body, answer)
+        self._call('POST', words.GRANT_PATH, body, answer)
 
     def renew_lease(self, lease: LeaseGranted, on_reply: OnReply) -> None:
         """Let a lease last for its time from now."""
@@ -273,11 +274,11 @@
                 reply = LeaseGone()
             self._hand_over(reply, on_reply)
 
-        self._call('POST', f'/api/kv-keep/{lease.lease}', b'', answer)
+        self._call('POST', f'{words.RENEW_PATH}/{lease.lease}', b'', answer)
 
     def _read_page(self, read: _Range, after_key: str) -> None:
         self.counters.reads += 1
-        path = f'/api/kv-range?prefix={quote(read.prefix, safe="")}'
+        path = f'{words.RANGE_PATH}?prefix={quote(read.prefix, safe="")}'
         if after_key:
             path = f'{path}&after={quote(after_key, safe="")}'
         if read.stale:
--- a/bamboodeck/platform/words.py
+++ b/bamboodeck/platform/words.py
@@ -24,6 +24,12 @@
 RETRY_AFTER = 'Retry-After'
 
 READY_PATH = '/api/ready'
+# Calls to the store.
+RANGE_PATH = '/api/kv-range'
+WATCH_PATH = '/api/kv-watch'
+COMMIT_PATH = '/api/kv-txn'
+GRANT_PATH = '/api/kv-lease'
+RENEW_PATH = '/api/kv-keep'
 
 ANY_MODEL = '*'
 
--- /dev/null
+++ b/tests/gateway/test_path.py
@@ -0,0 +1,310 @@
+"""Test a gateway from its callers to the engines of a platform."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from bamboodeck.fakes.platform.engine import EngineBehaviour, EngineFault
+from bamboodeck.http.messages import Header
+from bamboodeck.platform import words
+from tests.gateway.world import (
+    CHAT,
+    CUSTOMER,
+    KEY,
+    LARGE,
+    LOOK,
+    MODELS,
+    PAY,
+    SHOP,
+    SMALL,
+    GatewayWorld,
+    build_configuration,
+)
+
+MODEL_IDS = ('model-1', 'model-2')
+EVENTS = b''.join(
+    b'id: %d\ndata: piece %d\n\n' % (number, number) for number in range(1, 6)
+)
+
+
+@pytest.fixture
+def world() -> Iterator[GatewayWorld]:
+    """Run one gateway before an engine of each kind."""
+    world = GatewayWorld()
+    world.add_engine('model-1')
+    world.add_engine('shop-1', SHOP)
+    world.until_engines(2)
+    yield world
+    world.close()
+
+
+class TestAnswers:
+    """Pass requests and answers on unchanged."""
+
+    def test_plain_call(self, world: GatewayWorld) -> None:
+        """Keep method, target and body, and the engine's stamp."""
+        asked = world.ask(f'{PAY}a%20b?x=1&y=', body=b'\x00raw', method='PUT')
+        run = world.engines['shop-1'].runs[0]
+        assert (asked.status, asked.whole) == (200, True)
+        assert asked.body == b'shop-1 ran request-1'
+        assert asked.header(words.STAMP) == 'stamp-shop-1'
+        assert (run.method, run.target) == ('PUT', f'{PAY}a%20b?x=1&y=')
+        assert run.body == b'\x00raw'
+
+    def test_stream(self, world: GatewayWorld) -> None:
+        """Pass on every event in order."""
+        asked = world.ask(CHAT, model='*')
+        assert (asked.status, asked.whole) == (200, True)
+        assert asked.body == EVENTS
+        run = world.engines['model-1'].runs[0]
+        assert run.headers[words.MODEL.lower()] == SMALL
+
+    def test_system_headers(self, world: GatewayWorld) -> None:
+        """Drop what only the gateway may set, and the key."""
+        forged = tuple(
+            Header(name, 'forged')
+            for name in (
+                words.HOLD,
+                words.PIN_MS,
+                words.KV_BACKUP,
+                words.KV_FROM,
+                words.KV_FETCH,
+                words.PRIORITY,
+                words.TENANT,
+                words.EXPECT_INSTANCE,
+                words.EXPECT_VERSION,
+            )
+        )
+        world.ask(PAY, headers=forged)
+        headers = world.engines['shop-1'].runs[0].headers
+        assert 'forged' not in headers.values()
+        assert words.API_KEY.lower() not in headers
+        assert KEY not in headers.values()
+        assert headers[words.TENANT.lower()] == CUSTOMER
+        assert headers[words.EXPECT_INSTANCE.lower()] == 'shop-1'
+        assert 0 < int(headers[words.DEADLINE_MS.lower()]) <= 1200
+
+    def test_named_model(self, world: GatewayWorld) -> None:
+        """Leave a model that the caller names."""
+        world.engines['model-1'].behaviour.confidences['own'] = 0
+        world.ask(CHAT, model='own')
+        runs = world.engines['model-1'].runs
+        assert [run.headers[words.MODEL.lower()] for run in runs] == ['own']
+
+
+class TestRefusals:
+    """Refuse what no route, key or engine allows."""
+
+    def test_no_route(self, world: GatewayWorld) -> None:
+        """Answer 404 where no prefix fits."""
+        assert world.ask('/elsewhere/').status == 404
+
+    def test_unknown_key(self, world: GatewayWorld) -> None:
+        """Answer 401 without a known key."""
+        assert world.ask(PAY, key='other').status == 401
+        assert world.ask(PAY, key=None).status == 401
+        assert not world.engines['shop-1'].runs
+
+    def test_no_engine(self, world: GatewayWorld) -> None:
+        """Refuse at once, as not run, and tell when to come back."""
+        world.store.remove(f'{words.ENGINE_PREFIX}shop-1')
+        world.until_engines(1)
+        asked = world.ask(PAY)
+        assert asked.status == 503
+        assert 0 < float(asked.header(words.RETRY_AFTER)) < 2
+
+    def test_revoked_key(self, world: GatewayWorld) -> None:
+        """Answer 401 once a configuration takes a key away."""
+        world.store.put(
+            words.CONFIGURATION_KEY,
+            build_configuration(2, tenants=[]),
+        )
+        app = world.apps[0]
+        world.until(lambda: app.context.configuration.version == 2)
+        assert world.ask(PAY).status == 401
+
+    def test_older_configuration(self, world: GatewayWorld) -> None:
+        """Keep the newer configuration when an older one is written."""
+        world.store.put(words.CONFIGURATION_KEY, build_configuration(5))
+        app = world.apps[0]
+        world.until(lambda: app.context.configuration.version == 5)
+        world.store.put(
+            words.CONFIGURATION_KEY,
+            build_configuration(4, tenants=[]),
+        )
+        world.until(lambda: 'configuration_ignored' in world.log())
+        assert world.ask(PAY).status == 200
+
+
+class TestFailures:
+    """Repeat what may be repeated, and only that."""
+
+    def test_safe_call_again(self, world: GatewayWorld) -> None:
+        """Ask another engine after a failure."""
+        world.add_engine('shop-2', SHOP)
+        world.until_engines(3)
+        for engine_id in ('shop-1', 'shop-2'):
+            world.engines[engine_id].faults.append(EngineFault.ERROR)
+        first = world.ask(LOOK, method='GET')
+        # Each engine fails once, so the third run is the first whole one.
+        second = world.ask(LOOK, method='GET')
+        assert (first.status, second.status) == (500, 200)
+        assert first.body == b'failed'
+
+    def test_unsafe_call_once(self, world: GatewayWorld) -> None:
+        """Run a payment whose answer is lost no second time."""
+        world.add_engine('shop-2', SHOP)
+        world.until_engines(3)
+        for engine_id in ('shop-1', 'shop-2'):
+            world.engines[engine_id].faults.append(EngineFault.CUT)
+        asked = world.ask(PAY)
+        runs = world.engines['shop-1'].runs + world.engines['shop-2'].runs
+        assert asked.status == 502
+        assert len(runs) == 1
+
+    def test_unsafe_call_not_run(self, world: GatewayWorld) -> None:
+        """Say that a payment has not run only if the engine says so."""
+        world.engines['shop-1'].faults.append(EngineFault.SHED)
+        asked = world.ask(PAY)
+        assert asked.status == 503
+        assert not world.engines['shop-1'].runs
+
+    def test_answer_of_another(self, world: GatewayWorld) -> None:
+        """Never pass on an answer with another request's id."""
+        world.engines['shop-1'].faults.append(EngineFault.WRONG_ID)
+        assert world.ask(PAY).status == 502
+
+    def test_answer_without_stamp(self, world: GatewayWorld) -> None:
+        """Never pass on a success that no engine has signed."""
+        world.engines['shop-1'].faults.append(EngineFault.NO_STAMP)
+        assert world.ask(PAY).status == 502
+
+    def test_surplus_answer(self, world: GatewayWorld) -> None:
+        """Drop a second answer and use the connection no more."""
+        world.engines['model-1'].faults.append(EngineFault.EXTRA)
+        first = world.ask(CHAT, model=SMALL)
+        second = world.ask(CHAT, model=SMALL)
+        assert (first.body, second.body) == (EVENTS, EVENTS)
+
+    def test_engine_gone(self, world: GatewayWorld) -> None:
+        """Ask another engine if the first can't be reached."""
+        world.add_engine('shop-2', SHOP)
+        world.until_engines(3)
+        world.engines['shop-1'].stop()
+        statuses = [world.ask(PAY).status for _ in range(6)]
+        assert statuses == [200] * 6
+        assert 'engine_paused' in world.log()
+
+
+class TestStreams:
+    """Deliver each event once, also over several engines."""
+
+    @pytest.fixture
+    def two(self, world: GatewayWorld) -> GatewayWorld:
+        """Add a second model engine."""
+        world.add_engine('model-2')
+        world.until_engines(3)
+        return world
+
+    def test_resume(self, two: GatewayWorld) -> None:
+        """Go on at another engine after the last whole event."""
+        first = two.ask(CHAT, model=SMALL)
+        (served,) = [each for each in MODEL_IDS if two.engines[each].runs]
+        (other,) = [each for each in MODEL_IDS if each != served]
+        two.engines[served].faults.append(EngineFault.CUT)
+        asked = two.ask(CHAT, model=SMALL)
+        (resumed,) = two.engines[other].runs
+        assert (first.body, asked.body, asked.whole) == (EVENTS, EVENTS, True)
+        assert resumed.headers[words.LAST_EVENT_ID.lower()] == '2'
+
+    def test_every_engine_breaks(self, two: GatewayWorld) -> None:
+        """Go back to the first engine with the last attempt."""
+        for engine_id in MODEL_IDS:
+            two.engines[engine_id].faults.append(EngineFault.CUT)
+        asked = two.ask(CHAT, model=SMALL)
+        runs = sum(len(two.engines[each].runs) for each in MODEL_IDS)
+        assert (asked.body, asked.whole, runs) == (EVENTS, True, 3)
+
+    def test_stalled(self, two: GatewayWorld) -> None:
+        """Leave an engine whose stream stands still."""
+        two.engines['model-1'].faults.append(EngineFault.STALL)
+        two.engines['model-2'].faults.append(EngineFault.STALL)
+        asked = two.ask(CHAT, model=SMALL)
+        assert asked.body == EVENTS
+        ends = {
+            run.ended
+            for engine_id in ('model-1', 'model-2')
+            for run in two.engines[engine_id].runs
+        }
+        assert ends == {'whole', 'cancelled'}
+
+    def test_no_attempt_left(self, world: GatewayWorld) -> None:
+        """Break the connection, so that the answer can't seem whole."""
+        world.engines['model-1'].faults.extend([EngineFault.CUT] * 3)
+        asked = world.ask(CHAT, model=SMALL)
+        assert not asked.whole
+        assert asked.body == EVENTS[: len(asked.body)]
+
+    def test_caller_gone(self, world: GatewayWorld) -> None:
+        """Free the engine when the caller leaves."""
+        world.engines['model-1'].behaviour.step_s = 0.2
+        asked = world.send(CHAT, model=SMALL)
+        world.until(lambda: asked.body != b'')
+        asked.connection.cancel()
+        run = world.engines['model-1'].runs[0]
+        world.until(lambda: run.ended == 'cancelled')
+        assert not world.apps[0].traffic.running
+
+
+class TestCascade:
+    """Ask a larger model where the smaller one doubts its answer."""
+
+    def test_low_confidence(self, world: GatewayWorld) -> None:
+        """Drop the first answer and pass on the larger model's."""
+        engine = world.engines['model-1']
+        engine.behaviour.confidences[SMALL] = 10
+        asked = world.ask(CHAT, model='*')
+        models = [run.headers[words.MODEL.lower()] for run in engine.runs]
+        assert models == [SMALL, LARGE]
+        assert asked.header(words.CONFIDENCE) == '100'
+        assert asked.body == EVENTS
+
+    def test_high_confidence(self, world: GatewayWorld) -> None:
+        """Pass a confident answer on."""
+        engine = world.engines['model-1']
+        engine.behaviour.confidences[SMALL] = 90
+        world.ask(CHAT, model='*')
+        assert len(engine.runs) == 1
+
+
+class TestLeaving:
+    """Give leaving engines no new work."""
+
+    def test_draining(self, world: GatewayWorld) -> None:
+        """Send new work elsewhere, and keep to that when news is late."""
+        world.add_engine('model-2')
+        world.until_engines(3)
+        world.relist('model-1', MODELS, state='draining', sequence=5)
+        context = world.apps[0].context
+        world.until(lambda: context.engines.find('model-1').leaving)
+        world.relist('model-1', MODELS, state='ready', sequence=4)
+        world.wait(0.4)
+        for _ in range(4):
+            world.ask(CHAT, model=SMALL)
+        assert not world.engines['model-1'].runs
+
+    def test_unreadable_entry(self, world: GatewayWorld) -> None:
+        """Use no engine whose entry can't be read, and go on."""
+        key = f'{words.ENGINE_PREFIX}shop-1'
+        world.store.put(key, b'\xff not json')
+        world.until_engines(1)
+        assert world.ask(PAY).status == 503
+        assert world.ask(CHAT, model=SMALL).status == 200
+        assert 'document_skipped' in world.log()
+
+    def test_another_engine_at_the_address(self, world: GatewayWorld) -> None:
+        """Take a misdirected answer as not run, and ask another engine."""
+        world.engines['shop-1'].engine_id = 'stranger'
+        world.add_engine('shop-2', SHOP)
+        world.until_engines(3)
+        assert [world.ask(LOOK).status for _ in range(4)] == [200] * 4
--- /dev/null
+++ b/tests/gateway/world.py
@@ -0,0 +1,316 @@
+"""Run gateways, a store and engines of a platform on loops of one process."""
+
+import io
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bamboodeck.environment import Environment
+from bamboodeck.fakes.platform.engine import (
+    EngineBehaviour,
+    PlatformEngineFake,
+)
+from bamboodeck.fakes.platform.store import PlatformStoreFake
+from bamboodeck.gateway.app import GatewayApp
+from bamboodeck.gateway.model import Bounds, HostSettings
+from bamboodeck.http.client import HttpClient
+from bamboodeck.http.client_connection import ClientConnection
+from bamboodeck.http.messages import (
+    Header,
+    HttpCall,
+    HttpFailed,
+    ReplyHead,
+    find_header,
+)
+from bamboodeck.platform import words
+from bamboodeck.platform.adapter import PLATFORM
+from tests.http.looping import build_loop
+from tests.ports import find_free_address
+
+# How long a condition may take on a busy machine.
+PATIENCE_S = 60.0
+HOST = 'desk.example'
+KEY = 'key-1'
+CUSTOMER = 'school'
+CHAT = '/chat/'
+PAY = '/pay/'
+LOOK = '/look/'
+SMALL = 'small'
+LARGE = 'large'
+MODELS = 'models'
+SHOP = 'shop'
+ZONES = {'gent': 'flanders', 'namur': 'wallonia'}
+
+
+@dataclass
+class Asked:
+    """Collect what a caller receives."""
+
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    body: bytes = b''
+    whole: bool = False
+    failure: HttpFailed | None = None
+    connection: ClientConnection | None = field(default=None, repr=False)
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether nothing more will come."""
+        return self.whole or self.failure is not None
+
+    def header(self, name: str) -> str | None:
+        """Return a header of the answer."""
+        return find_header(self.headers, name)
+
+    def on_head(self, head: ReplyHead) -> None:
+        """Take the head."""
+        self.status = head.status
+        self.headers = head.headers
+
+    def on_data(self, chunk: bytes) -> None:
+        """Take the next bytes."""
+        self.body += chunk
+
+    def on_end(self) -> None:
+        """Learn that the answer is whole."""
+        self.whole = True
+
+    def on_failed(self, failure: HttpFailed) -> None:
+        """Learn that the rest won't come."""
+        self.failure = failure
+
+
+class LinesOutput(io.StringIO):
+    """Collect log lines as a bounded output does."""
+
+    def drain(self) -> None:
+        """Keep everything."""
+
+    def start_second(self) -> int:
+        """Leave nothing out."""
+        return 0
+
+
+def build_configuration(version: int = 1, **changes: object) -> bytes:
+    """Write a configuration with a route of each kind."""
+    shared = {'host': HOST, 'public': False, 'priority': 1}
+    routes = [
+        {
+            **shared,
+            'name': 'chat',
+            'prefix': CHAT,
+            'kind': 'streaming',
+            'timeout_ms': 8000,
+            'target_latency_ms': 2000,
+            'gap_aim_ms': 800,
+            'max_attempts': 3,
+            'stream_resume': True,
+            'sticky': True,
+            'sizes': [SMALL, LARGE],
+            'service': MODELS,
+        },
+        {
+            **shared,
+            'name': 'pay',
+            'prefix': PAY,
+            'kind': 'unsafe',
+            'timeout_ms': 1200,
+            'target_latency_ms': 250,
+            'max_attempts': 1,
+            'service': SHOP,
+        },
+        {
+            **shared,
+            'name': 'look',
+            'prefix': LOOK,
+            'kind': 'safe',
+            'timeout_ms': 1200,
+            'target_latency_ms': 250,
+            'max_attempts': 2,
+            'backends': [{'service': SHOP, 'weight': 1}],
+        },
+    ]
+    document = {
+        'version': version,
+        'routes': routes,
+        'services': [
+            {
+                'name': MODELS,
+                'max_connections': 64,
+                'engine': {
+                    'slots': 8,
+                    'kv_capacity_tokens': 100_000,
+                    'models': [
+                        {'name': SMALL, 'cost': 0.02},
+                        {'name': LARGE, 'cost': 0.3},
+                    ],
+                },
+            },
+            {'name': SHOP, 'max_connections': 64},
+        ],
+        'limits': {
+            'max_header_bytes': 16_384,
+            'max_body_bytes': 1_000_000,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15_000,
+        },
+        'tenants': [{'name': CUSTOMER, 'api_keys': [KEY], 'priority': 1}],
+        **changes,
+    }
+    return msgspec.json.encode(document)
+
+
+class GatewayWorld:
+    """Own a store, engines, gateways and a caller."""
+
+    def __init__(self, hosts: int = 1) -> None:
+        """Start the store with a configuration, and the gateways."""
+        self.loop = build_loop()
+        self.store = PlatformStoreFake(self.loop, find_free_address())
+        self.store.put(words.CONFIGURATION_KEY, build_configuration())
+        self.engines: dict[str, PlatformEngineFake] = {}
+        self.apps: list[GatewayApp] = []
+        self.outputs: list[LinesOutput] = []
+        self.client = HttpClient(self.loop)
+        self._number = 0
+        for number in range(hosts):
+            self.start_host(f'host-{number + 1}')
+
+    def start_host(self, host: str) -> GatewayApp:
+        """Start a gateway process."""
+        output = LinesOutput()
+        zone = tuple(ZONES)[len(self.apps) % len(ZONES)]
+        settings = HostSettings(
+            host=host,
+            zone=zone,
+            region=ZONES[zone],
+            regions_by_zone=ZONES,
+            callers_listen=find_free_address(),
+            ready_listen=find_free_address(),
+            peer_listen=find_free_address(),
+            metrics_listen=find_free_address(),
+            store=self.store.address,
+            max_descriptors=1024,
+            memory_mb=256,
+            bounds=Bounds(grace_s=2.0, stability_s=2.0),
+        )
+        environment = Environment(stderr=output)
+        app = GatewayApp(environment, settings, PLATFORM, output)
+        app.loop._running = True
+        app.start()
+        self.apps.append(app)
+        self.outputs.append(output)
+        return app
+
+    def add_engine(
+        self,
+        engine_id: str,
+        service: str = MODELS,
+        behaviour: EngineBehaviour | None = None,
+        **fields: object,
+    ) -> PlatformEngineFake:
+        """Start an engine and list it."""
+        engine = PlatformEngineFake(
+            self.loop,
+            find_free_address(),
+            engine_id,
+            behaviour,
+        )
+        self.engines[engine_id] = engine
+        entry = engine.entry(service, 'gent', **fields)
+        self.store.put(f'{words.ENGINE_PREFIX}{engine_id}', entry)
+        return engine
+
+    def relist(self, engine_id: str, service: str, **fields: object) -> None:
+        """Change what the registry says of an engine."""
+        entry = self.engines[engine_id].entry(service, 'gent', **fields)
+        self.store.put(f'{words.ENGINE_PREFIX}{engine_id}', entry)
+
+    def turn(self) -> None:
+        """Turn every loop once."""
+        self.loop.tick(0.001)
+        for app in self.apps:
+            app.loop.tick(0)
+
+    def until(self, happened: Callable[[], bool]) -> None:
+        """Turn until a condition holds."""
+        give_up_s = time.monotonic() + PATIENCE_S
+        while not happened():
+            assert time.monotonic() < give_up_s, self.log()
+            self.turn()
+
+    def wait(self, duration_s: float) -> None:
+        """Turn for some time."""
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s:
+            self.turn()
+
+    def until_engines(self, count: int) -> None:
+        """Turn until every gateway knows so many engines."""
+        self.until(
+            lambda: all(
+                app.context.routes is not None
+                and sum(not each.unlisted for each in app.context.engines)
+                == count
+                for app in self.apps
+            ),
+        )
+
+    def log(self) -> str:
+        """Return what all gateways have logged."""
+        return '\n'.join(output.getvalue() for output in self.outputs)
+
+    def send(
+        self,
+        path: str,
+        *,
+        body: bytes = b'',
+        method: str = 'POST',
+        app: int = 0,
+        key: str | None = KEY,
+        model: str | None = None,
+        deadline_ms: int = 8000,
+        headers: tuple[Header, ...] = (),
+        request_id: str | None = None,
+    ) -> Asked:
+        """Send a request; its answer is collected while loops turn."""
+        self._number += 1
+        own = [
+            Header(words.REQUEST_ID, request_id or f'request-{self._number}'),
+            Header(words.DEADLINE_MS, str(deadline_ms)),
+        ]
+        if key is not None:
+            own.append(Header(words.API_KEY, key))
+        if model is not None:
+            own.append(Header(words.MODEL, model))
+            own.append(Header(words.TOKEN_COUNTS, '100,20'))
+            own.append(Header(words.PROMPT_PREFIX, 'a1:60,b2:40'))
+        asked = Asked()
+        asked.connection = self.client.stream(
+            HttpCall(
+                self.apps[app].callers.address,
+                method,
+                path,
+                body,
+                (*own, *headers),
+                timeout_s=PATIENCE_S,
+                host=HOST,
+            ),
+            asked,
+        )
+        return asked
+
+    def ask(self, path: str, **options: object) -> Asked:
+        """Send a request and wait for the end of its answer."""
+        asked = self.send(path, **options)
+        self.until(lambda: asked.ended)
+        return asked
+
+    def close(self) -> None:
+        """Close what is open."""
+        for app in self.apps:
+            app.callers.stop_accepting()
+            app.fleet.close()
+        self.client.close()
