Run the tests in parallel; give a version on trial no second chance

Cause: the suite took 10 to 14 minutes in one process. A request that failed on a version on trial went to another engine of the same version (500 to a caller in a test of a bad version). Ruled out: distribution test by test: a module whose tests share one system failed when it was split (test_bills_reach_the_store, traced: it counts an answer of another test); such modules are groups now.

--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,12 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m flake8 .
 
+# Most of the time goes to system tests that wait for leases, so workers may
+# outnumber the cores that they keep busy.
+WORKERS ?= 6
+
 test: $(NEEDS)
-	$(PYTHON) -m pytest -rxX
+	$(PYTHON) -m pytest -rxX -n $(WORKERS) --dist loadgroup
 
 clean:
 	rm -rf $(VENV) build *.egg-info .pytest_cache .hypothesis .ruff_cache
--- a/bamboodeck/fakes/platform/store.py
+++ b/bamboodeck/fakes/platform/store.py
@@ -161,26 +161,14 @@
 
     def _commit(self, body: bytes, responder: RelayExchange) -> None:
         change = msgspec.json.decode(body)
-        current = {
-            row['key']: self._store.read(KeyRange(row['key'].encode()))
-            for row in change['if_revision']
-        }
-        for row in change['if_revision']:
-            found = current[row['key']]
-            if (found[0].mod_revision if found else 0) != row['revision']:
-                entries = [
-                    _describe(each[0]) for each in current.values() if each
-                ]
-                self._respond(
-                    responder,
-                    {'entries': entries},
-                    HTTPStatus.PRECONDITION_FAILED,
-                )
-                return
-        for put in change['puts']:
-            if put.get('lease', 0) and put['lease'] not in self._store.leases:
-                responder.respond(HTTPStatus.NOT_FOUND)
-                return
+        if not self._hold(change['if_revision']):
+            status = HTTPStatus.PRECONDITION_FAILED
+            self._respond(responder, {'entries': []}, status)
+            return
+        leases = {put.get('lease', 0) for put in change['puts']}
+        if not leases <= {0, *self._store.leases}:
+            responder.respond(HTTPStatus.NOT_FOUND)
+            return
         self._store.next_revision()
         for put in change['puts']:
             self._store.put(
@@ -193,6 +181,14 @@
         self._feed()
         self._respond(responder, {'revision': self._store.revision})
 
+    def _hold(self, conditions: list[dict[str, Any]]) -> bool:
+        for condition in conditions:
+            found = self._store.read(KeyRange(condition['key'].encode()))
+            revision = found[0].mod_revision if found else 0
+            if revision != condition['revision']:
+                return False
+        return True
+
     def _grant(self, body: bytes, responder: RelayExchange) -> None:
         ttl_ms = msgspec.json.decode(body)['ttl_ms']
         lease = self._store.grant(
@@ -264,7 +260,8 @@
     start = prefix.encode()
     if not start:
         return KeyRange(b'', KEY_END)
-    return KeyRange(start, start[:-1] + bytes((start[-1] + 1,)))
+    after = start[-1] + 1
+    return KeyRange(start, start[:-1] + bytes((after,)))
 
 
 def _describe(entry: KeyValue) -> dict[str, Any]:
--- a/bamboodeck/gateway/context.py
+++ b/bamboodeck/gateway/context.py
@@ -1,6 +1,6 @@
 """Hold what all requests of a gateway share."""
 
-import msgspec
+from dataclasses import dataclass
 
 from bamboodeck.admission.poison import PoisonGuard
 from bamboodeck.environment import Environment
@@ -18,7 +18,8 @@
 from bamboodeck.loop.program import Loop
 
 
-class GatewayContext(msgspec.Struct):
+@dataclass(slots=True)
+class GatewayContext:
     """Hold the loop, the log and what is known on this host."""
 
     environment: Environment
--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -52,7 +52,7 @@
 
 
 class WholeDelivery:
-    """Hold an answer until it is whole, so that a broken one can be repeated."""
+    """Hold an answer until it is whole, so a broken one can be repeated."""
 
     def __init__(self, exchange: 'Exchange') -> None:
         """Start without an answer."""
--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -163,12 +163,8 @@
                 self._list(fact)
             case EngineUnlisted():
                 self._unlist(fact)
-            case RolloutOrdered():
-                self._guide.take_order(fact)
-            case RolloutStatusListed():
-                self._guide.take_status(fact)
-            case RolloutStepListed():
-                self._guide.take_step(fact)
+            case RolloutOrdered() | RolloutStatusListed() | RolloutStepListed():
+                self._guide.take(fact)
             case PeerListed() | PeerUnlisted():
                 self._on_peer(fact)
             case Unreadable(key=key, reason=reason, revision=revision):
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -6,6 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -35,14 +36,15 @@
     heard_s: float
 
 
-class Engine(msgspec.Struct):
+@dataclass(slots=True)
+class Engine:
     """Hold what this host knows of one life of an engine."""
 
     entry: EngineEntry
     # Requests of this host that run there, and the reading still to be done.
     requests: int = 0
     work_ms: float = 0.0
-    peers: dict[str, PeerLoad] = msgspec.field(default_factory=dict)
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
     failure_rate: float = 0.0
     pauses: int = 0
     paused_until_s: float = 0.0
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -103,6 +103,7 @@
         self.attempt: Attempt | None = None
         self.attempts = 0
         self.tried: set[str] = set()
+        self.failed_versions: set[str] = set()
         self.maybe_run = False
         self.offered = False
         self.ended = False
@@ -325,6 +326,7 @@
         elif cause is not FailureCause.NOT_RUN:
             self.maybe_run = True
         self.tried.add(attempt.engine.entry.engine_id)
+        self.failed_versions.add(attempt.engine.entry.version)
         now_s = self.context.now_s()
         sequel = follow_failure(
             FailedAttempt(
--- a/bamboodeck/gateway/fingerprints.py
+++ b/bamboodeck/gateway/fingerprints.py
@@ -1,5 +1,6 @@
 """Recognise requests that crash the engines that run them."""
 
+import msgspec
 import xxhash
 
 from bamboodeck.gateway.context import GatewayContext
@@ -9,6 +10,13 @@
 
 # A crash shows as broken connections and then as refused ones within this.
 CRASH_WINDOW_S = 2.0
+# As many requests as an engine runs at once.
+MAX_REMEMBERED = 64
+
+
+class _Broken(msgspec.Struct, frozen=True):
+    fingerprint: str
+    broken_s: float
 
 
 def fingerprint_of(request: CallerRequest, customer: str) -> str:
@@ -25,7 +33,7 @@
     def __init__(self, context: GatewayContext) -> None:
         """Start without suspicion."""
         self._context = context
-        self._broken: dict[str, list[tuple[float, str]]] = {}
+        self._broken: dict[str, list[_Broken]] = {}
 
     def is_poison(self, fingerprint: str) -> bool:
         """Tell whether a request has crashed engines before."""
@@ -44,17 +52,17 @@
         """Remember a request whose connection broke while it ran."""
         now_s = self._context.now_s()
         broken = self._broken.setdefault(engine.entry.engine_id, [])
-        broken.append((now_s, fingerprint))
-        del broken[:-64]
+        broken.append(_Broken(fingerprint, now_s))
+        del broken[:-MAX_REMEMBERED]
 
     def note_crash(self, engine: Engine) -> None:
         """Suspect the requests that broke just before an engine was gone."""
         engine_id = engine.entry.engine_id
         since_s = self._context.now_s() - CRASH_WINDOW_S
         suspects = {
-            fingerprint
-            for broken_s, fingerprint in self._broken.pop(engine_id, ())
-            if broken_s >= since_s
+            each.fingerprint
+            for each in self._broken.pop(engine_id, ())
+            if each.broken_s >= since_s
         }
         if not suspects:
             return
--- a/bamboodeck/gateway/output.py
+++ b/bamboodeck/gateway/output.py
@@ -36,7 +36,7 @@
         return len(text)
 
     def start_second(self) -> int:
-        """Allow new lines; return how many were left out since the last call."""
+        """Allow new lines; return how many were left out before."""
         self._lines_left = MAX_LINES_PER_S
         left_out = self.left_out
         self.left_out = 0
--- a/bamboodeck/gateway/reload.py
+++ b/bamboodeck/gateway/reload.py
@@ -1,4 +1,4 @@
-"""Read the settings file again when it has changed, with or without a signal."""
+"""Read the settings file again when it has changed, also with no signal."""
 
 from collections.abc import Callable
 from pathlib import Path
--- a/bamboodeck/gateway/rollout_guide.py
+++ b/bamboodeck/gateway/rollout_guide.py
@@ -118,6 +118,19 @@
         """Tell whether any roll-out is under way."""
         return any(not rollout.ended for rollout in self._rollouts.values())
 
+    def take(
+        self,
+        fact: RolloutOrdered | RolloutStatusListed | RolloutStepListed,
+    ) -> None:
+        """Follow what the store tells of roll-outs."""
+        match fact:
+            case RolloutOrdered():
+                self.take_order(fact)
+            case RolloutStatusListed():
+                self.take_status(fact)
+            case RolloutStepListed():
+                self.take_step(fact)
+
     def take_order(self, fact: RolloutOrdered) -> None:
         """Follow an operator's order."""
         order = fact.order
@@ -138,10 +151,13 @@
             fact.revision,
             self._context.environment.wall_s(),
         )
-        if order.service in self._steps:
-            self.take_step(self._steps[order.service])
-        if order.service in self._statuses:
-            self.take_status(self._statuses[order.service])
+        # Both may have been listed before the order was.
+        step = self._steps.get(order.service)
+        if step is not None:
+            self.take_step(step)
+        status = self._statuses.get(order.service)
+        if status is not None:
+            self.take_status(status)
 
     def take_status(self, fact: RolloutStatusListed) -> None:
         """Follow the state that some host has written."""
--- a/bamboodeck/gateway/rollouts.py
+++ b/bamboodeck/gateway/rollouts.py
@@ -113,12 +113,14 @@
 
 def sum_counts(counts: Iterable[AnswerCounts]) -> AnswerCounts:
     """Add counts up."""
-    answers = failed = slow = 0
+    total = AnswerCounts()
     for each in counts:
-        answers += each.answers
-        failed += each.failed
-        slow += each.slow
-    return AnswerCounts(answers, failed, slow)
+        total = AnswerCounts(
+            total.answers + each.answers,
+            total.failed + each.failed,
+            total.slow + each.slow,
+        )
+    return total
 
 
 def fails_more(
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -145,11 +145,10 @@
         )
         judgement = judge_draft(draft)
         self._log_judged(exchange, attempt, draft, judgement)
-        match judgement:
-            case RunAgain(model=model):
-                exchange.note_first_token(attempt)
-                self._learn_answer(exchange, attempt, failed=False)
-                exchange.run_again(model)
+        if isinstance(judgement, RunAgain):
+            exchange.note_first_token(attempt)
+            self._learn_answer(exchange, attempt, failed=False)
+            exchange.run_again(judgement.model)
 
     def on_answered(self, exchange: Exchange, attempt: Attempt) -> None:
         """Learn that an engine gave a whole answer."""
@@ -372,6 +371,9 @@
             exchange.version_key,
             pinned,
         )
+        if choice.only in exchange.failed_versions and pinned is None:
+            # A version on trial that has failed gets no second chance here.
+            choice = VersionChoice(excluded=choice.only)
         usable = [
             engine
             for engine in self.context.engines.of_service(exchange.service)
@@ -425,15 +427,17 @@
             if attempt is None or attempt.ended or attempt.paused:
                 continue
             self._check_silence(exchange, attempt)
+        self._reject_overdue()
+        self._fill_places()
+
+    def _reject_overdue(self) -> None:
         now_s = self.context.now_s()
         for waiting in tuple(self._waiting.values()):
             if waiting.deadline_s < now_s:
-                exchange = waiting.ticket
-                exchange.give_up_waiting(
+                waiting.ticket.give_up_waiting(
                     'no place in time',
-                    exchange.retry_after_s(),
+                    waiting.ticket.retry_after_s(),
                 )
-        self._fill_places()
 
     def _check_silence(self, exchange: Exchange, attempt: Attempt) -> None:
         if not exchange.route.repeatable or exchange.attempts_left < 1:
--- a/bamboodeck/platform/__init__.py
+++ b/bamboodeck/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Speak with the users' platform: wire names, formats and calls, no decisions."""
+"""Speak with the users' platform: names, formats and calls, no decisions."""
--- a/bamboodeck/platform/documents.py
+++ b/bamboodeck/platform/documents.py
@@ -24,12 +24,6 @@
 from bamboodeck.http.relay_server import CallerLimits
 from bamboodeck.platform.host_settings import MILLISECONDS_PER_S
 
-_KINDS = {
-    'safe': RouteKind.SAFE,
-    'unsafe': RouteKind.UNSAFE,
-    'streaming': RouteKind.STREAM,
-}
-
 
 class DocumentError(InputError):
     """Report a document that can't be read."""
@@ -209,9 +203,7 @@
 
 
 def _build_route(wire: _WireRoute) -> Route:
-    kind = _KINDS.get(wire.kind)
-    if kind is None:
-        raise DocumentError(f'route {wire.name}: kind "{wire.kind}" is unknown')
+    kind = _read_kind(wire)
     services = tuple(
         WeightedService(each.service, each.weight) for each in wire.backends
     )
@@ -234,6 +226,17 @@
     )
 
 
+def _read_kind(wire: _WireRoute) -> RouteKind:
+    match wire.kind:
+        case 'safe':
+            return RouteKind.SAFE
+        case 'unsafe':
+            return RouteKind.UNSAFE
+        case 'streaming':
+            return RouteKind.STREAM
+    raise DocumentError(f'route {wire.name}: kind "{wire.kind}" is unknown')
+
+
 def _build_service(wire: _WireService) -> Service:
     batch = None
     if wire.engine is not None:
--- /dev/null
+++ b/tests/gateway/samples.py
@@ -0,0 +1,68 @@
+"""Build the values that the tests of a gateway's decisions share."""
+
+from bamboodeck.gateway.engines import Engine, EngineBook
+from bamboodeck.gateway.model import (
+    CallerRequest,
+    EngineEntry,
+    EngineState,
+    Generation,
+    PromptPart,
+)
+from bamboodeck.http.messages import Address
+
+MODELS = ('small', 'middle', 'large')
+
+
+def build_entry(engine_id: str = 'engine-1', **fields: object) -> EngineEntry:
+    """Build an entry of the registry."""
+    described = {
+        'service': 'models',
+        'address': Address('10.0.0.1', 8000),
+        'zone': 'gent',
+        'version': 'v1',
+        'slots': 4,
+        'state': EngineState.READY,
+        'sequence': 1,
+        'started_unix_ms': 1000,
+        **fields,
+    }
+    return EngineEntry(engine_id=engine_id, **described)
+
+
+def build_generation(**fields: object) -> Generation:
+    """Build what a request asks of a model engine."""
+    described = {
+        'model': None,
+        'prompt_tokens': 1000,
+        'max_output_tokens': 100,
+        'parts': (PromptPart('a', 600), PromptPart('b', 300)),
+        **fields,
+    }
+    return Generation(**described)
+
+
+def build_request(**fields: object) -> CallerRequest:
+    """Build a caller's request."""
+    described = {
+        'request_id': 'request-1',
+        'method': 'POST',
+        'target': '/chat/1',
+        'host': 'desk.example',
+        'path': '/chat/1',
+        'body': b'',
+        'headers': (),
+        'patience_s': 8.0,
+        'api_key': None,
+        'session': None,
+        'generation': build_generation(),
+        'received_s': 0.0,
+        **fields,
+    }
+    return CallerRequest(**described)
+
+
+def list_engines(book: EngineBook, *entries: EngineEntry) -> list[Engine]:
+    """List engines in a book and return them."""
+    for entry in entries:
+        book.list(entry)
+    return [book.find(entry.engine_id) for entry in entries]
--- /dev/null
+++ b/tests/gateway/test_budget.py
@@ -0,0 +1,63 @@
+"""Replay failures under load against the budget of repeats."""
+
+from random import Random
+
+from bamboodeck.gateway.budget import RepeatBudget
+
+RATIO = 0.9
+WINDOW_S = 10.0
+SLACK = 52.0
+HOSTS = 6
+
+
+class TestFleet:
+    """Keep the sum of all hosts within the fleet's budget."""
+
+    def test_everything_fails(self) -> None:
+        """Bound repeats in each window while every request is repeated."""
+        random = Random(7)
+        budgets = [RepeatBudget(RATIO, WINDOW_S, SLACK) for _ in range(HOSTS)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        for budget in budgets:
+            budget.hosts = HOSTS
+        for step in range(12_000):
+            now_s = step * 0.005
+            budget = random.choice(budgets[: 1 + step % HOSTS])
+            budget.note_request(SERVICE, now_s)
+            requests.append(now_s)
+            for _ in range(2):
+                if budget.allows(SERVICE, now_s):
+                    budget.note_repeat(SERVICE, now_s)
+                    repeats.append(now_s)
+        for end_s in range(10, 60, 5):
+            asked = count_within(requests, end_s)
+            repeated = count_within(repeats, end_s)
+            assert repeated <= RATIO * asked + SLACK
+            assert repeated > asked / 2
+
+    def test_idle_host(self) -> None:
+        """Leave a host without requests its part of the slack alone."""
+        budget = RepeatBudget(RATIO, WINDOW_S, SLACK)
+        budget.hosts = HOSTS
+        allowed = 0
+        while budget.allows(SERVICE, 0.0):
+            budget.note_repeat(SERVICE, 0.0)
+            allowed += 1
+        assert 0 < allowed <= SLACK / HOSTS
+
+    def test_window(self) -> None:
+        """Allow repeats again once the old ones are out of the window."""
+        budget = RepeatBudget(RATIO, WINDOW_S, SLACK)
+        while budget.allows(SERVICE, 0.0):
+            budget.note_repeat(SERVICE, 0.0)
+        assert not budget.allows(SERVICE, WINDOW_S)
+        assert budget.allows(SERVICE, WINDOW_S + 0.1)
+
+
+SERVICE = 'models'
+
+
+def count_within(times_s: list[float], end_s: float) -> int:
+    """Count what lies in the window before a moment."""
+    return sum(end_s - WINDOW_S < each <= end_s for each in times_s)
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,129 @@
+"""Test what hosts tell each other."""
+
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from bamboodeck.fakes.platform.engine import EngineFault
+from bamboodeck.gateway.model import RolloutState
+from bamboodeck.platform import words
+from bamboodeck.platform.documents import decode_status
+from tests.gateway.world import CHAT, MODELS, SMALL, GatewayWorld
+
+HOSTS = 3
+STATUS_KEY = f'{words.STATUS_PREFIX}{MODELS}'
+
+
+@pytest.fixture
+def world() -> Iterator[GatewayWorld]:
+    """Run several gateways before two model engines."""
+    world = GatewayWorld(HOSTS)
+    world.add_engine('model-1')
+    world.add_engine('model-2')
+    world.until_engines(2)
+    world.until(lambda: all(app.fleet.hosts == HOSTS for app in world.apps))
+    yield world
+    world.close()
+
+
+class TestLoads:
+    """Tell the others what runs where."""
+
+    def test_running(self, world: GatewayWorld) -> None:
+        """Count another host's requests until they end."""
+        for engine in world.engines.values():
+            engine.behaviour.step_s = 0.5
+        asked = world.send(CHAT, model=SMALL)
+
+        def seen() -> list[int]:
+            return [
+                sum(
+                    engine.total_requests(0.0) for engine in app.context.engines
+                )
+                for app in world.apps
+            ]
+
+        world.until(lambda: seen() == [1] * HOSTS)
+        world.until(lambda: asked.ended)
+        world.until(lambda: seen() == [0] * HOSTS)
+
+    def test_turns(self, world: GatewayWorld) -> None:
+        """Give each host a turn of its own."""
+        turns = sorted(app.fleet.find_turn() for app in world.apps)
+        assert turns == list(range(HOSTS))
+
+
+class TestRollouts:
+    """Move a version in together, or stop it together."""
+
+    def order(self, world: GatewayWorld, duration_s: float) -> None:
+        """Order a roll-out, with two engines of the new version."""
+        world.add_engine('model-3', version='v2')
+        world.add_engine('model-4', version='v2')
+        world.until_engines(4)
+        world.store.put(
+            f'{words.ROLLOUT_PREFIX}{MODELS}',
+            msgspec.json.encode(
+                {
+                    'service': MODELS,
+                    'target': 'v2',
+                    'duration_s': duration_s,
+                },
+            ),
+        )
+
+    def state(self, world: GatewayWorld) -> RolloutState | None:
+        """Return the state that operators see."""
+        content = world.store.read(STATUS_KEY)
+        return None if content is None else decode_status(content).state
+
+    def test_good(self, world: GatewayWorld) -> None:
+        """Complete a good version, and use the old one no more."""
+        self.order(world, 4.0)
+        seen = set()
+        while self.state(world) is not RolloutState.COMPLETED:
+            seen.add(self.state(world))
+            for app in range(HOSTS):
+                assert world.ask(CHAT, model=SMALL, app=app).status == 200
+            world.wait(0.02)
+        assert RolloutState.RUNNING in seen
+        world.wait(0.5)
+        before = sum(len(world.engines[each].runs) for each in OLD)
+        for app in range(HOSTS):
+            world.ask(CHAT, model=SMALL, app=app)
+        assert sum(len(world.engines[each].runs) for each in OLD) == before
+
+    def test_bad(self, world: GatewayWorld) -> None:
+        """Roll a failing version back, by what several hosts have seen."""
+        self.order(world, 40.0)
+        asked = 0
+        while self.state(world) is not RolloutState.ROLLED_BACK:
+            for engine_id in NEW:
+                world.engines[engine_id].faults.extend(FAILING)
+            asked += 1
+            status = world.ask(CHAT, model=SMALL, app=asked % HOSTS).status
+            assert status == 200
+            assert asked < 1000
+        world.wait(0.5)
+        runs = sum(len(world.engines[each].runs) for each in NEW)
+        for app in range(HOSTS):
+            world.ask(CHAT, model=SMALL, app=app)
+        assert sum(len(world.engines[each].runs) for each in NEW) == runs
+        assert runs < 0.25 * asked
+        assert 'rollout_judged' in world.log()
+
+    def test_decider_dies(self, world: GatewayWorld) -> None:
+        """Go on when the host that wrote last is gone."""
+        self.order(world, 4.0)
+        world.until(lambda: self.state(world) is RolloutState.RUNNING)
+        first = min(world.apps, key=lambda app: app.fleet.find_turn())
+        world.apps.remove(first)
+        world.until(lambda: self.state(world) is RolloutState.COMPLETED)
+        first.callers.stop_accepting()
+        first.fleet.close()
+
+
+OLD = ('model-1', 'model-2')
+NEW = ('model-3', 'model-4')
+FAILING = (EngineFault.ERROR,) * 2
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bamboodeck.fakes.platform.engine import EngineBehaviour, EngineFault
+from bamboodeck.fakes.platform.engine import EngineFault
 from bamboodeck.http.messages import Header
 from bamboodeck.platform import words
 from tests.gateway.world import (
--- /dev/null
+++ b/tests/gateway/test_reload.py
@@ -0,0 +1,85 @@
+"""Test that changed settings are put in force, and faulty ones are not."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from bamboodeck.errors import InputError
+from bamboodeck.gateway.model import Bounds, HostSettings
+from bamboodeck.gateway.reload import SettingsSource, SettingsWatch
+from tests.gateway.world import GatewayWorld
+
+
+class Parsed:
+    """Read a session's length from a file of one number."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        """Keep what doesn't change."""
+        self.settings = settings
+
+    def __call__(self, text: str) -> HostSettings:
+        """Read the number; raise `InputError`."""
+        try:
+            session_s = float(text)
+        except ValueError:
+            raise InputError(f'"{text}" is no number')
+        return msgspec.structs.replace(
+            self.settings,
+            bounds=Bounds(session_s=session_s),
+        )
+
+
+class TestReload:
+    """Read the file again after a signal, or when it has changed."""
+
+    @pytest.fixture
+    def world(self, monkeypatch: pytest.MonkeyPatch) -> GatewayWorld:
+        """Run a gateway that looks often."""
+        monkeypatch.setattr(
+            'bamboodeck.gateway.reload.LOOK_PERIOD_S',
+            0.05,
+        )
+        return GatewayWorld()
+
+    def watch(self, world: GatewayWorld, path: Path) -> SettingsWatch:
+        """Follow a settings file."""
+        context = world.apps[0].context
+        parse = Parsed(context.settings)
+        source = SettingsSource(path, parse)
+        return SettingsWatch(context, source, context.apply_settings)
+
+    def test_change_without_signal(
+        self,
+        world: GatewayWorld,
+        tmp_path: Path,
+    ) -> None:
+        """Put a changed file in force."""
+        path = tmp_path / 'settings'
+        path.write_text('5')
+        self.watch(world, path)
+        path.write_text('17.5')
+        sessions = world.apps[0].context.sessions
+        world.until(lambda: sessions.session_s == 17.5)
+        assert 'cause=file-changed' in world.log()
+
+    def test_signal(self, world: GatewayWorld, tmp_path: Path) -> None:
+        """Read the file on a signal, changed or not."""
+        path = tmp_path / 'settings'
+        path.write_text('5')
+        self.watch(world, path).reload('signal')
+        assert 'cause=signal' in world.log()
+
+    def test_faults(self, world: GatewayWorld, tmp_path: Path) -> None:
+        """Keep the settings in force when the new ones have faults."""
+        path = tmp_path / 'settings'
+        path.write_text('5')
+        watch = self.watch(world, path)
+        before = world.apps[0].context.settings
+        for text in ('many', ''):
+            path.write_text(text)
+            watch.reload('signal')
+        path.unlink()
+        watch.reload('signal')
+        assert world.apps[0].context.settings is before
+        assert world.log().count('settings_refused') >= 3
--- /dev/null
+++ b/tests/gateway/test_rollouts.py
@@ -0,0 +1,152 @@
+"""Replay good and bad versions against the judgement of roll-outs."""
+
+from random import Random
+
+import pytest
+
+from bamboodeck.gateway.rollouts import (
+    FIRST_SLOW_RATIO,
+    SLOW_QUANTILE,
+    AnswerCounts,
+    SlowRatio,
+    VersionChoice,
+    choose_version,
+    falls_in_share,
+    is_bad,
+    is_complete,
+    share_at,
+    step_due,
+)
+
+ENGINES = tuple(f'engine-{number}' for number in range(5))
+
+
+def count_until_bad(
+    seed: int,
+    failure_rate: float,
+    slow_rate: float,
+    answers: int,
+) -> int | None:
+    """Return after how many answers a version is found bad, if at all."""
+    random = Random(seed)
+    old = {engine: AnswerCounts(100, 1, 15) for engine in ENGINES}
+    new: dict[str, AnswerCounts] = {}
+    for number in range(answers):
+        engine = random.choice(ENGINES)
+        known = new.get(engine, AnswerCounts())
+        new[engine] = AnswerCounts(
+            known.answers + 1,
+            known.failed + (random.random() < failure_rate),
+            known.slow + (random.random() < slow_rate),
+        )
+        if is_bad(new, old):
+            return number + 1
+    return None
+
+
+class TestBadVersions:
+    """Stop a bad version after few answers."""
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_failing(self, seed: int) -> None:
+        """Find a version that fails a third of its requests."""
+        found = count_until_bad(seed, 0.33, 0.15, answers=200)
+        assert found is not None
+        assert found <= 60
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_slow(self, seed: int) -> None:
+        """Find a version of which half the answers are slow."""
+        found = count_until_bad(seed, 0.01, 0.57, answers=400)
+        assert found is not None
+        assert found <= 120
+
+    def test_good(self) -> None:
+        """Stop few good versions, however often they are looked at."""
+        stopped = [
+            seed
+            for seed in range(200)
+            if count_until_bad(seed, 0.01, 0.15, answers=500) is not None
+        ]
+        assert len(stopped) <= 4
+
+    def test_one_engine(self) -> None:
+        """Blame no version for the trouble of one engine."""
+        old = {engine: AnswerCounts(100, 1, 15) for engine in ENGINES}
+        new = {engine: AnswerCounts(20, 0, 3) for engine in ENGINES}
+        new['engine-0'] = AnswerCounts(40, 40, 0)
+        assert not is_bad(new, old)
+
+    def test_everything_fails(self) -> None:
+        """Blame no version for what fails on the one before as well."""
+        old = {engine: AnswerCounts(100, 40, 15) for engine in ENGINES}
+        new = {engine: AnswerCounts(20, 8, 3) for engine in ENGINES}
+        assert not is_bad(new, old)
+
+
+class TestSlowRatio:
+    """Learn what counts as slow."""
+
+    def test_quantile(self) -> None:
+        """Settle where few answers are slower."""
+        random = Random(2)
+        slow = SlowRatio()
+        assert slow.ratio == FIRST_SLOW_RATIO
+        ratios = [random.lognormvariate(0, 0.5) for _ in range(4000)]
+        for ratio in ratios[:2000]:
+            slow.learn(ratio)
+        below = sum(ratio <= slow.ratio for ratio in ratios) / len(ratios)
+        assert abs(below - SLOW_QUANTILE) < 0.07
+
+
+class TestSteps:
+    """Move sessions by steps, most of them in the second half."""
+
+    def test_first_half(self) -> None:
+        """Expose a small share in the first half."""
+        shares = [share_at(step_due(float(at_s), 24.0)) for at_s in range(13)]
+        assert max(shares) <= 0.1
+
+    def test_whole(self) -> None:
+        """Have moved everyone some time before the end."""
+        assert share_at(step_due(17.0, 24.0)) == 1.0
+        assert not is_complete(3, 17.0, 24.0)
+        assert is_complete(3, 22.0, 24.0)
+        assert not is_complete(2, 30.0, 24.0)
+
+    def test_share(self) -> None:
+        """Keep who is in the share when it grows."""
+        keys = [f'session-{number}' for number in range(3000)]
+        few = {key for key in keys if falls_in_share(key, 'v2', 0.08)}
+        more = {key for key in keys if falls_in_share(key, 'v2', 0.3)}
+        assert few < more
+        assert 0.06 < len(few) / len(keys) < 0.1
+
+
+class TestVersionChoice:
+    """Keep sessions on their version."""
+
+    def choose(self, pinned: str | None, *, share: float, late: bool):
+        """Choose for a session between the first version and the second."""
+        return choose_version(
+            'v2',
+            share=share,
+            key='session',
+            pinned=pinned,
+            may_change_over=late,
+        )
+
+    def test_pinned_to_new(self) -> None:
+        """Keep a session on the new version, whatever the share."""
+        chosen = self.choose('v2', share=0.0, late=True)
+        assert chosen == VersionChoice(only='v2')
+
+    def test_pinned_to_old(self) -> None:
+        """Keep a session on the old version in the first half."""
+        chosen = self.choose('v1', share=1.0, late=False)
+        assert chosen == VersionChoice(excluded='v2', strict=True)
+
+    def test_changing_over(self) -> None:
+        """Move a session in the second half, when its turn comes."""
+        assert self.choose('v1', share=1.0, late=True).only == 'v2'
+        assert self.choose('v1', share=0.0, late=True).excluded == 'v2'
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,45 @@
+"""Test the cutting of streams into events."""
+
+import pytest
+
+from bamboodeck.gateway.streams import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLargeError,
+)
+
+STREAM = (
+    b'id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nversion: 3\nid: x\ndata: c\n\n'
+)
+
+
+class TestEvents:
+    """Hand over whole events only."""
+
+    @pytest.mark.parametrize('size', [1, 2, 3, 7, len(STREAM)])
+    def test_any_pieces(self, size: int) -> None:
+        """Find the same events however the bytes arrive."""
+        splitter = EventSplitter()
+        events = []
+        for begin in range(0, len(STREAM), size):
+            events.extend(splitter.feed(STREAM[begin : begin + size]))
+        assert b''.join(event.content for event in events) == STREAM
+        assert [event.event_id for event in events] == ['1', '2', 'x']
+        assert splitter.rest == b''
+
+    def test_cut_off(self) -> None:
+        """Keep back an event without its end."""
+        splitter = EventSplitter()
+        events = splitter.feed(b'id: 1\n\nid: 2\nda')
+        assert len(events) == 1
+        assert splitter.rest == b'id: 2\nda'
+
+    def test_without_id(self) -> None:
+        """Pass an event without an id on."""
+        (event,) = EventSplitter().feed(b'data: id: 7\n\n')
+        assert event.event_id is None
+
+    def test_endless(self) -> None:
+        """Refuse an event that never ends."""
+        with pytest.raises(EventTooLargeError):
+            EventSplitter().feed(b'x' * (MAX_EVENT_BYTES + 1))
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,138 @@
+"""Test the decoding of the store's documents."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bamboodeck.gateway.model import (
+    EngineState,
+    RolloutState,
+    RolloutStatus,
+    RouteKind,
+    WeightedService,
+)
+from bamboodeck.platform.documents import (
+    DocumentError,
+    decode_configuration,
+    decode_engine,
+    decode_rollout,
+    decode_status,
+    encode_status,
+)
+from tests.gateway.world import CUSTOMER, KEY, build_configuration
+
+ENGINE = {
+    'service': 'models',
+    'address': '10.0.0.9:8080',
+    'zone': 'gent-a',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'cold_remaining_ms': 1500,
+    'sequence': 4,
+    'born': 1770896753170,
+    'unheard-of': [],
+}
+
+
+class TestConfiguration:
+    """Read the operators' configuration."""
+
+    def test_routes(self) -> None:
+        """Turn kinds, times and services into the project's own."""
+        configuration = decode_configuration(build_configuration(7))
+        chat, pay, look = configuration.routes
+        assert configuration.version == 7
+        assert (chat.kind, chat.repeatable) == (RouteKind.STREAM, True)
+        assert (pay.kind, pay.repeatable) == (RouteKind.UNSAFE, False)
+        assert look.services == (WeightedService('shop', 1.0),)
+        assert (pay.timeout_s, pay.target_latency_s) == (1.2, 0.25)
+        assert chat.max_gap_s == 0.8
+        assert configuration.limits.idle_timeout_s == 15.0
+
+    def test_customers(self) -> None:
+        """Find customers by their keys."""
+        configuration = decode_configuration(build_configuration())
+        assert configuration.customers_by_key[KEY].name == CUSTOMER
+
+    def test_no_customers(self) -> None:
+        """Tell "no customers" from "no customer has a key"."""
+        without = msgspec.json.decode(build_configuration())
+        without.pop('tenants')
+        content = msgspec.json.encode(without)
+        assert decode_configuration(content).customers_by_key is None
+        empty = decode_configuration(build_configuration(1, tenants=[]))
+        assert empty.customers_by_key == {}
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'',
+            b'[]',
+            b'{"version": 1}',
+            b'\xff',
+            b'{"version":"x","routes":[]}',
+        ],
+    )
+    def test_malformed(self, content: bytes) -> None:
+        """Refuse what is no configuration."""
+        with pytest.raises(DocumentError):
+            decode_configuration(content)
+
+
+class TestEngines:
+    """Read what engines say of themselves."""
+
+    def test_entry(self) -> None:
+        """Keep its life, and turn units."""
+        entry = decode_engine('i-1', msgspec.json.encode(ENGINE))
+        assert entry.engine_id == 'i-1'
+        assert entry.started_unix_ms == 1770896753170
+        assert entry.cold_s == 1.5
+        assert entry.state is EngineState.READY
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'state': 'resting'},
+            {'address': 'somewhere'},
+            {'slots': 'many'},
+            {'service': None},
+            {'born': 1.5},
+        ],
+    )
+    def test_malformed(self, change: dict) -> None:
+        """Refuse entries of other writers."""
+        content = msgspec.json.encode({**ENGINE, **change})
+        with pytest.raises(DocumentError):
+            decode_engine('i-1', content)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=60))
+    def test_any_bytes(self, content: bytes) -> None:
+        """Refuse any bytes with the same error."""
+        with pytest.raises(DocumentError):
+            decode_engine('i-1', content)
+
+
+class TestRollouts:
+    """Read orders, write and read states."""
+
+    def test_order(self) -> None:
+        """Read which version is to come, and when."""
+        order = decode_rollout(
+            b'{"service":"models","target":"v2","duration_s":12}',
+        )
+        assert (order.version, order.duration_s) == ('v2', 12.0)
+
+    @pytest.mark.parametrize('state', list(RolloutState))
+    def test_status(self, state: RolloutState) -> None:
+        """Read back what was written."""
+        status = RolloutStatus('v2', state)
+        assert decode_status(encode_status(status)) == status
+
+    def test_unknown_state(self) -> None:
+        """Refuse a state that isn't known."""
+        with pytest.raises(DocumentError):
+            decode_status(b'{"target":"v2","state":"odd"}')
--- a/tests/system/test_credits.py
+++ b/tests/system/test_credits.py
@@ -8,6 +8,10 @@
 DESK_KEY = 'medena-key-2'
 
 
+# The tests of this module share one system.
+pytestmark = pytest.mark.xdist_group('system-credits')
+
+
 @pytest.fixture(scope='module')
 def system() -> System:
     """Start two zones with two hosts each."""
