Leave sessions on their version whichever host they come to

Cause: sessions come to any host. Ruled out: fewer sessions on trial (each that goes on while the trial begins counts, whenever it begins). The test fails without that news.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -42,9 +42,9 @@
 # the time after which a host has to follow the store again.
 ANSWER_SLACK_S = 1.0
 SHORTEST_WAIT_S = 1.0
-# Changes that come together are read together: an engine's news may be this
-# much late, a tenth of the drain bound.
-COALESCE_S = 0.25
+# Changes that follow each other are read together, since each call is paid for.
+# The news may then be late by this part of the time that it has.
+COALESCE_PART = 0.4
 # Calls to a store that doesn't answer, the first soon, the others bounded.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
@@ -93,7 +93,7 @@
                 self._apply(facts)
                 self.revision = max(self.revision, revision)
                 self._context.loop.scheduler.call_after(
-                    COALESCE_S if facts else 0,
+                    self._coalesce_s() if facts else 0,
                     self._follow,
                 )
             case HistoryLost():
@@ -102,6 +102,10 @@
             case RegistryFailed(reason=reason):
                 self._lose(reason)
 
+    def _coalesce_s(self) -> float:
+        bounds = self._context.settings.bounds
+        return COALESCE_PART * min(bounds.drain_s, bounds.configuration_s)
+
     def _follow(self) -> None:
         stability_s = self._context.settings.bounds.stability_s
         wait_s = max(stability_s - ANSWER_SLACK_S, SHORTEST_WAIT_S)
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -127,6 +127,7 @@
     request_id: str
     route: str
     customer: str
+    session: str
     service: str
     engine: str
     zone: str
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -406,6 +406,7 @@
                 request_id=self.request.request_id,
                 route=self.route.name,
                 customer=self.customer_name,
+                session=self.request.session or '',
                 service=self.service,
                 engine=entry.engine_id,
                 zone=entry.zone,
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -24,6 +24,7 @@
 )
 from bamboodeck.gateway.rollout_guide import RolloutGuide
 from bamboodeck.gateway.rollouts import AnswerCounts
+from bamboodeck.gateway.sessions import SessionSeen
 from bamboodeck.http.messages import Address
 
 # Loads change with every request; within a zone they are told often.
@@ -58,6 +59,14 @@
     crashed_unix_s: float
 
 
+class _Session(msgspec.Struct, frozen=True, array_like=True):
+    service: str
+    session: str
+    version: str
+    # How long before the news it last ran.
+    age_ms: int
+
+
 class _News(msgspec.Struct, frozen=True, array_like=True):
     host: str
     # Orders the news of a sender: its start, then a count.
@@ -66,6 +75,7 @@
     loads: tuple[_Load, ...]
     evidence: tuple[_Evidence, ...] = ()
     crashes: tuple[_Crash, ...] = ()
+    sessions: tuple[_Session, ...] = ()
 
 
 class Peer(msgspec.Struct):
@@ -185,11 +195,13 @@
         self._sent += 1
         if not self.peers:
             return
-        news = self._encoder.encode(self._build_news())
+        sessions = () if self._guide is None else self._guide.take_staying()
+        news = self._encoder.encode(self._build_news(sessions))
         if len(news) > MAX_DATAGRAM_BYTES:
             self._context.metrics.count('news_too_large')
             return
-        for peer in self._choose_listeners():
+        everyone = tuple(self.peers.values())
+        for peer in everyone if sessions else self._choose_listeners():
             with contextlib.suppress(OSError):
                 # Lost news is made up for by the next.
                 self._sock.sendto(news, (peer.address.host, peer.address.port))
@@ -205,7 +217,8 @@
             far = self._context.environment.random.sample(far, MAX_FAR_PEERS)
         return near + far
 
-    def _build_news(self) -> _News:
+    def _build_news(self, sessions: tuple[SessionSeen, ...]) -> _News:
+        now_s = self._context.now_s()
         loads = tuple(
             _Load(
                 engine.entry.engine_id,
@@ -242,6 +255,15 @@
             loads,
             evidence,
             crashes,
+            tuple(
+                _Session(
+                    seen.service,
+                    seen.session,
+                    seen.version,
+                    int((now_s - seen.seen_s) * 1000),
+                )
+                for seen in sessions
+            ),
         )
 
     def _receive(self) -> None:
@@ -288,6 +310,15 @@
                     for each in news.evidence
                 },
             )
+        for each in news.sessions:
+            self._context.sessions.note(
+                SessionSeen(
+                    each.service,
+                    each.session,
+                    each.version,
+                    now_s - each.age_ms / 1000,
+                ),
+            )
         if news.crashes:
             self._merge_crashes(news)
 
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -239,6 +239,8 @@
     """Hold the deployment's bounds that decisions keep to."""
 
     drain_s: float = 2.5
+    # Until a configuration is in force on every host.
+    configuration_s: float = 2.5
     grace_s: float = 8.0
     heartbeat_s: float = 1.2
     stability_s: float = 4.0
--- a/bamboodeck/gateway/rollout_guide.py
+++ b/bamboodeck/gateway/rollout_guide.py
@@ -32,18 +32,23 @@
     SlowRatio,
     VersionChoice,
     choose_version,
+    falls_in_share,
     is_bad,
     is_complete,
     share_at,
     step_due,
     sum_counts,
 )
+from bamboodeck.gateway.sessions import SessionSeen
 
 TICK_S = 0.25
 # The writes of two hosts are this far apart, so that the second has usually
 # heard of the first one's.
 TURN_S = 0.3
 MAX_TURNS = 10
+# Before the first sessions try a version, hosts tell each other for this long
+# which ones go on; longer than the news of an order may be late.
+SETTLE_S = 2.5
 # Until a write without an answer is tried again.
 WRITE_AGAIN_S = 0.6
 
@@ -62,6 +67,10 @@
     state: RolloutState | None = None
     state_revision: int = 0
     bad: bool = False
+    # Sessions of the trial share that ran on another version since the last
+    # news; each stays there while it goes on.
+    staying: dict[str, SessionSeen] = msgspec.field(default_factory=dict)
+    trial_begins_s: float = 0.0
     due_since_s: float | None = None
     due: tuple[int, RolloutState | None] | None = None
     written_s: float = 0.0
@@ -146,11 +155,16 @@
             ),
         )
         self.evidence = Evidence()
-        self._rollouts[order.service] = Rollout(
+        now_s = self._context.now_s()
+        rollout = Rollout(
             order,
             fact.revision,
             self._context.environment.wall_s(),
+            trial_begins_s=now_s + SETTLE_S,
         )
+        self._rollouts[order.service] = rollout
+        for seen in self._context.sessions.recent(order.service, now_s):
+            self.note_session(seen)
         # Both may have been listed before the order was.
         step = self._steps.get(order.service)
         if step is not None:
@@ -206,14 +220,37 @@
             return VersionChoice(excluded=target, strict=True)
         if rollout.state is RolloutState.COMPLETED:
             return VersionChoice(only=target)
+        settled = self._context.now_s() >= rollout.trial_begins_s
         return choose_version(
             target,
-            share=share_at(rollout.step),
+            share=share_at(rollout.step) if settled else 0.0,
             key=key,
             pinned=pinned,
             may_change_over=rollout.step > 0,
         )
 
+    def note_session(self, seen: SessionSeen) -> None:
+        """Note a session that a trial has to leave where it runs."""
+        rollout = self._rollouts.get(seen.service)
+        if rollout is None or rollout.ended or rollout.step > 0:
+            return
+        target = rollout.order.version
+        if seen.version == target:
+            return
+        if falls_in_share(seen.session, target, share_at(0)):
+            rollout.staying[seen.session] = seen
+
+    def take_staying(self) -> tuple[SessionSeen, ...]:
+        """Return the sessions of which other hosts have to hear now."""
+        now_s = self._context.now_s()
+        told: list[SessionSeen] = []
+        for rollout in self._rollouts.values():
+            told.extend(rollout.staying.values())
+            # Until the trial begins, they are told with every news.
+            if now_s >= rollout.trial_begins_s:
+                rollout.staying.clear()
+        return tuple(told)
+
     def note_answer(
         self,
         engine: Engine,
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -24,6 +24,7 @@
 from bamboodeck.gateway.rollout_guide import RolloutGuide
 from bamboodeck.gateway.rollouts import VersionChoice
 from bamboodeck.gateway.routes import NoRoute, Resolved, UnknownKey
+from bamboodeck.gateway.sessions import SessionSeen
 from bamboodeck.gateway.silence import Quiet, judge_silence
 from bamboodeck.gateway.waiting import Waiting
 from bamboodeck.http.intake import ParsedRequest
@@ -275,12 +276,14 @@
             self.context.budget.note_repeat(exchange.service, now_s)
         session = exchange.request.session
         if session is not None:
-            self.context.sessions.note(
+            seen = SessionSeen(
                 exchange.service,
                 session,
                 entry.version,
                 now_s,
             )
+            self.context.sessions.note(seen)
+            self.guide.note_session(seen)
         generation = exchange.request.generation
         if generation is not None and exchange.model is not None:
             self.context.engines.remember_parts(
--- a/bamboodeck/platform/host_settings.py
+++ b/bamboodeck/platform/host_settings.py
@@ -105,6 +105,10 @@
 
     return Bounds(
         drain_s=seconds('bounds.drain_ms', default.drain_s),
+        configuration_s=seconds(
+            'bounds.config_ms',
+            default.configuration_s,
+        ),
         grace_s=reader.number('bounds.grace_s', default.grace_s),
         heartbeat_s=seconds('heartbeat_ms', default.heartbeat_s),
         stability_s=seconds('bounds.stability_window_ms', default.stability_s),
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -7,6 +7,9 @@
 
 from bamboodeck.fakes.platform.engine import EngineFault
 from bamboodeck.gateway.model import RolloutState
+from bamboodeck.gateway.rollout_guide import SETTLE_S
+from bamboodeck.gateway.rollouts import falls_in_share, share_at
+from bamboodeck.http.messages import Header
 from bamboodeck.platform import words
 from bamboodeck.platform.documents import decode_status
 from tests.gateway.world import CHAT, MODELS, SMALL, GatewayWorld
@@ -113,6 +116,30 @@
         assert runs < 0.25 * asked
         assert 'rollout_judged' in world.log()
 
+    def test_sessions_stay(self, world: GatewayWorld) -> None:
+        """Keep a session on its version whichever host it comes to."""
+        sessions = [
+            f'session-{number}'
+            for number in range(120)
+            if falls_in_share(f'session-{number}', 'v2', share_at(0))
+        ]
+        assert len(sessions) > 3
+
+        def ask(number: int) -> None:
+            for session in sessions:
+                header = Header(words.SESSION, session)
+                app = (number + len(session)) % HOSTS
+                world.ask(CHAT, model=SMALL, app=app, headers=(header,))
+
+        ask(0)
+        self.order(world, 40.0)
+        world.until(lambda: self.state(world) is RolloutState.RUNNING)
+        world.wait(SETTLE_S + 0.6)
+        # Each session goes on at another host than before.
+        ask(1)
+        ask(2)
+        assert not any(world.engines[each].runs for each in NEW)
+
     def test_decider_dies(self, world: GatewayWorld) -> None:
         """Go on when the host that wrote last is gone."""
         self.order(world, 4.0)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -194,7 +194,12 @@
             store=self.store.address,
             max_descriptors=1024,
             memory_mb=256,
-            bounds=Bounds(grace_s=2.0, stability_s=2.0),
+            bounds=Bounds(
+                drain_s=0.5,
+                configuration_s=0.5,
+                grace_s=2.0,
+                stability_s=2.0,
+            ),
         )
         environment = Environment(stderr=output)
         app = GatewayApp(environment, settings, PLATFORM, output)
