Run the platform's path in processes of its own; bound probes' connections

The first one showed that a prober that leaves its connections open shut itself out after 16 of them, so a host would have counted as not ready. Ruled out: the gateway's own readiness (the log shows it served meanwhile).

--- a/bamboodeck/fakes/commands.py
+++ b/bamboodeck/fakes/commands.py
@@ -25,6 +25,12 @@
 from bamboodeck.fakes.links import Links, Route
 from bamboodeck.fakes.option_types import ADDRESS, QUALITY, ROUTE
 from bamboodeck.fakes.orders import OrderService, OrderSettings
+from bamboodeck.fakes.platform.engine import (
+    EngineBehaviour,
+    PlatformEngineFake,
+)
+from bamboodeck.fakes.platform.registration import Registration
+from bamboodeck.fakes.platform.store import PlatformStoreFake
 from bamboodeck.fakes.rating import (
     Quality,
     RatingService,
@@ -35,6 +41,7 @@
 from bamboodeck.http.messages import Address
 from bamboodeck.logs import EventLog, build_event_log
 from bamboodeck.loop.program import Loop, ignore_broken_pipes
+from bamboodeck.platform import words
 
 Command = Callable[..., Any]
 Decorator = Callable[[Command], Command]
@@ -270,3 +277,49 @@
 def links(control: Address, routes: tuple[Route, ...]) -> None:
     """Run network links that can be cut, held and delayed."""
     run(lambda loop, log: Links(loop, control, routes, log).stop)
+
+
+@group.command('platform-store')
+@LISTEN
+@click.option(
+    '--configuration',
+    type=click.Path(path_type=Path, dir_okay=False, exists=True),
+    required=True,
+    help='What lies in the store as the operators wrote it.',
+)
+def platform_store(listen: Address, configuration: Path) -> None:
+    """Run the store of the users' platform."""
+
+    def build(loop: Loop, log: EventLog) -> Callable[[], None]:
+        store = PlatformStoreFake(loop, listen)
+        store.put(words.CONFIGURATION_KEY, configuration.read_bytes())
+        return loop.finish
+
+    run(build)
+
+
+@group.command('platform-engine')
+@LISTEN
+@click.option('--store', type=ADDRESS, required=True)
+@click.option('--id', 'engine_id', required=True)
+@click.option('--service', required=True)
+@click.option('--zone', required=True)
+@click.option('--step-ms', type=click.FloatRange(0), default=20)
+@click.option('--events', type=click.IntRange(1), default=5)
+def platform_engine(
+    listen: Address,
+    store: Address,
+    engine_id: str,
+    service: str,
+    zone: str,
+    step_ms: float,
+    events: int,
+) -> None:
+    """Run an engine of the users' platform."""
+    behaviour = EngineBehaviour(step_ms / MS_PER_S, events)
+
+    def build(loop: Loop, log: EventLog) -> Callable[[], None]:
+        engine = PlatformEngineFake(loop, listen, engine_id, behaviour)
+        return Registration(loop, store, engine, service, zone).leave
+
+    run(build)
--- a/bamboodeck/fakes/host_list.py
+++ b/bamboodeck/fakes/host_list.py
@@ -5,6 +5,12 @@
 from pathlib import Path
 
 from bamboodeck.errors import InputError
+from bamboodeck.external.host_list import (
+    Host,
+    HostRole,
+    HostsRead,
+    HostState,
+)
 from bamboodeck.fakes.faults import (
     Fault,
     FaultOrder,
@@ -22,12 +28,6 @@
 from bamboodeck.http.responder import Responder
 from bamboodeck.logs import EventLog
 from bamboodeck.loop.program import Loop
-from bamboodeck.external.host_list import (
-    Host,
-    HostRole,
-    HostsRead,
-    HostState,
-)
 
 SECTION_PREFIX = 'host '
 _ALLOWED_KEYS = frozenset(('address', 'zone', 'role', 'state'))
--- a/bamboodeck/fakes/key_value/server.py
+++ b/bamboodeck/fakes/key_value/server.py
@@ -15,8 +15,8 @@
 from bamboodeck.fakes.key_value.codec import (
     GatewayError,
     Json,
-    read_object,
     leave_out_values,
+    read_object,
     read_range,
     write_range_reply,
 )
--- a/bamboodeck/fakes/rating.py
+++ b/bamboodeck/fakes/rating.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bamboodeck.external.rating import RateAnswer, Rated
 from bamboodeck.fakes.engine.text import BAD_MARKER
 from bamboodeck.fakes.faults import Count, Duration, Fault
 from bamboodeck.fakes.stand_in import (
@@ -18,7 +19,6 @@
 from bamboodeck.http.responder import Responder
 from bamboodeck.logs import EventLog
 from bamboodeck.loop.program import Loop
-from bamboodeck.external.rating import RateAnswer, Rated
 
 BAD_SCORE = 0.1
 ANY_CLASS = ''
--- a/bamboodeck/fakes/weights.py
+++ b/bamboodeck/fakes/weights.py
@@ -5,12 +5,12 @@
 
 import msgspec
 
+from bamboodeck.external.weight_store import FetchWeights, WeightsFetched
 from bamboodeck.fakes.stand_in import StandIn, respond_error, respond_json
 from bamboodeck.http.messages import Address, ApiRequest
 from bamboodeck.http.responder import Responder
 from bamboodeck.logs import EventLog
 from bamboodeck.loop.program import Loop
-from bamboodeck.external.weight_store import FetchWeights, WeightsFetched
 
 
 @dataclass(frozen=True)
--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -24,12 +24,20 @@
 from bamboodeck.http.client import HttpClient
 from bamboodeck.http.intake import ParsedRequest
 from bamboodeck.http.messages import Header
-from bamboodeck.http.relay_server import RelayExchange, RelayServer
+from bamboodeck.http.relay_server import (
+    CallerLimits,
+    RelayExchange,
+    RelayServer,
+)
 from bamboodeck.logs import EventLog, build_event_log
 from bamboodeck.loop.program import Loop
 
 # Descriptors for files, the store, listening sockets and a margin.
 RESERVED_DESCRIPTORS = 300
+# Probes come each second; one that leaves its connections open must not shut
+# the next one out.
+PROBE_CONNECTIONS = 64
+PROBE_LIMITS = CallerLimits(idle_timeout_s=10.0)
 # Callers' share of the other descriptors; the rest is for engines.
 CALLER_PART = 0.6
 # The balancer asks once a second and takes a host out after two misses, so
@@ -110,14 +118,16 @@
             self.loop,
             settings.ready_listen,
             self._answer_ready,
-            max_connections=16,
+            max_connections=PROBE_CONNECTIONS,
         )
+        self.ready.limits = PROBE_LIMITS
         self.metrics = RelayServer(
             self.loop,
             settings.metrics_listen,
             self._answer_metrics,
-            max_connections=16,
+            max_connections=PROBE_CONNECTIONS,
         )
+        self.metrics.limits = PROBE_LIMITS
 
     def is_ready(self) -> bool:
         """Tell whether callers may come."""
--- a/bamboodeck/gateway/context.py
+++ b/bamboodeck/gateway/context.py
@@ -37,7 +37,7 @@
     poison: PoisonGuard
     configuration: GatewayConfiguration | None = None
     routes: RouteTable | None = None
-    # When the store last confirmed what is known of the engines.
+    # When the store last confirmed what is known, at first the start.
     registry_heard_s: float = 0.0
 
     def now_s(self) -> float:
@@ -92,4 +92,5 @@
         waiting=WaitingRoom(),
         sessions=SessionVersions(bounds.session_s),
         poison=PoisonGuard(),
+        registry_heard_s=environment.monotonic_s(),
     )
