--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -211,7 +211,7 @@
 
     def _on_peer(self, fact) -> None:
         self.fleet.take_peer(fact)
-        self.traffic.hosts = self.fleet.hosts
+        self.traffic.candidates.hosts = self.fleet.hosts
         self.context.budget.hosts = self.fleet.hosts
 
     def _on_configuration(self) -> None:
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -45,11 +45,30 @@
 _LEAST_URGENT = 9
 
 
+class Learner(Protocol):
+    """Learn from how attempts end."""
+
+    def on_answered(self, exchange: 'Exchange', attempt: Attempt) -> None:
+        """Learn that an engine gave a whole answer."""
+
+    def on_unanswered(
+        self,
+        exchange: 'Exchange',
+        attempt: Attempt,
+        failure: HttpFailed,
+    ) -> None:
+        """Learn that an engine gave no whole answer."""
+
+    def on_rejected(self, exchange: 'Exchange', attempt: Attempt) -> None:
+        """Learn that an engine has not run a request."""
+
+
 class ExchangeOwner(Protocol):
     """Place exchanges on engines and learn how they fare."""
 
     context: GatewayContext
     codec: ExchangeCodec
+    experience: 'Learner'
 
     def place(self, exchange: 'Exchange') -> None:
         """Send the exchange to an engine, or let it wait, or refuse it."""
@@ -62,20 +81,6 @@
     ) -> None:
         """Keep an answer of which nothing has gone out, or run it again."""
 
-    def on_answered(self, exchange: 'Exchange', attempt: Attempt) -> None:
-        """Learn that an engine gave a whole answer."""
-
-    def on_unanswered(
-        self,
-        exchange: 'Exchange',
-        attempt: Attempt,
-        failure: HttpFailed,
-    ) -> None:
-        """Learn that an engine gave no whole answer."""
-
-    def on_rejected(self, exchange: 'Exchange', attempt: Attempt) -> None:
-        """Learn that an engine has not run a request."""
-
     def on_ended(self, exchange: 'Exchange') -> None:
         """Learn that the exchange has ended."""
 
@@ -147,10 +152,14 @@
         """Return how long the caller still waits, in seconds."""
         return self.deadline_s - self.context.now_s()
 
+    @property
+    def target_s(self) -> float:
+        """Return until when an answer is on time."""
+        return self.request.received_s + self.route.target_latency_s
+
     def target_left_ms(self) -> float:
         """Return how long an answer is still on time, in milliseconds."""
-        target_s = self.request.received_s + self.route.target_latency_s
-        return (target_s - self.context.now_s()) * _MILLISECONDS_PER_S
+        return (self.target_s - self.context.now_s()) * _MILLISECONDS_PER_S
 
     def may_use(self, engine: Engine) -> bool:
         """Tell whether the request may be sent to an engine."""
@@ -265,7 +274,7 @@
 
     def note_answered(self, attempt: Attempt) -> None:
         """Learn that an engine gave a whole answer."""
-        self._owner.on_answered(self, attempt)
+        self._owner.experience.on_answered(self, attempt)
 
     def note_first_byte(self) -> None:
         """Note when the answer began."""
@@ -309,14 +318,14 @@
         """Judge an answer that is whole."""
         head = attempt.head
         if head.not_run:
-            self._owner.on_rejected(self, attempt)
+            self._owner.experience.on_rejected(self, attempt)
             self.follow(attempt, FailureCause.NOT_RUN, 'rejected by engine')
             return
         self.delivery.take_end(attempt, head)
 
     def on_attempt_failed(self, attempt: Attempt, failure: HttpFailed) -> None:
         """Try another engine or end the request."""
-        self._owner.on_unanswered(self, attempt, failure)
+        self._owner.experience.on_unanswered(self, attempt, failure)
         head = attempt.head
         if head is not None and head.not_run:
             self.follow(attempt, FailureCause.NOT_RUN, failure.reason)
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -1,46 +1,39 @@
 """Admit requests, place them on engines, and learn from how they fare."""
 
 from bamboodeck.gateway.attempt import Attempt
+from bamboodeck.gateway.candidates import Candidates, choose_service
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.engines import Engine
 from bamboodeck.gateway.events import (
     AnswerJudged,
-    EngineBack,
-    EnginePaused,
     RequestEnded,
     RequestWaits,
 )
 from bamboodeck.gateway.exchange import Exchange
-from bamboodeck.gateway.fingerprints import CrashWatch, fingerprint_of
-from bamboodeck.gateway.model import CallerRequest, EngineHead, Route
+from bamboodeck.gateway.experience import Experience
+from bamboodeck.gateway.fingerprints import fingerprint_of
+from bamboodeck.gateway.model import CallerRequest, EngineHead
 from bamboodeck.gateway.models import (
     Draft,
     RunAgain,
     judge_draft,
     next_model,
 )
-from bamboodeck.gateway.placement import PEER_NEWS_S, Offer, rank_engine
 from bamboodeck.gateway.ports import ExchangeCodec
 from bamboodeck.gateway.rollout_guide import RolloutGuide
-from bamboodeck.gateway.rollouts import VersionChoice
 from bamboodeck.gateway.routes import NoRoute, Resolved, UnknownKey
 from bamboodeck.gateway.sessions import SessionSeen
 from bamboodeck.gateway.silence import Quiet, judge_silence
 from bamboodeck.gateway.waiting import Waiting
 from bamboodeck.http.intake import ParsedRequest
-from bamboodeck.http.messages import FailureKind, HttpFailed
 from bamboodeck.http.relay_server import RelayExchange
 
 SWEEP_PERIOD_S = 0.1
-# A server's queue beyond its slots is used up to this many times its slots,
-# so that an urgent request needn't wait behind a long queue there.
-PLACES_PER_SLOT = 2.0
 # Without any engine a caller comes back after about a crashed one's return.
 NO_ENGINE_RETRY_S = 0.5
 # Without a configuration, after about a start of the store's watch.
 NO_CONFIGURATION_RETRY_S = 0.5
 
-_SERVER_ERROR = 500
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
 _BAD_REQUEST = 400
@@ -60,10 +53,10 @@
         """Start without requests."""
         self.context = context
         self.codec = codec
-        self.guide = guide
-        self.hosts = 1
+        self._guide = guide
         self.running: set[Exchange] = set()
-        self.crashes = CrashWatch(context)
+        self.candidates = Candidates(context, guide)
+        self.experience = Experience(context, guide)
         self._waiting: dict[int, Waiting] = {}
         self._filling = False
         context.loop.scheduler.call_every(SWEEP_PERIOD_S, self._sweep)
@@ -100,11 +93,12 @@
 
     def place(self, exchange: Exchange) -> None:
         """Send the exchange to an engine, or let it wait, or refuse it."""
-        candidates = self._find_candidates(exchange)
+        candidates = self.candidates.find(exchange)
         open_candidates = [
             engine
             for engine in candidates
-            if self._has_place(engine) and self._may_connect(engine)
+            if self.candidates.has_place(engine)
+            and self.candidates.may_connect(engine)
         ]
         ahead = self.context.waiting.peek(exchange.service)
         is_turn = (
@@ -136,7 +130,7 @@
                 head.confidence,
             )
         if larger is not None:
-            offer = self._offer(exchange, larger)
+            offer = self.candidates.offer(exchange, larger)
         draft = Draft(
             confidence=head.confidence,
             larger_model=larger,
@@ -152,72 +146,9 @@
         self._log_judged(exchange, attempt, draft, judgement)
         if isinstance(judgement, RunAgain):
             exchange.note_first_token(attempt)
-            self._learn_answer(exchange, attempt, failed=False)
+            self.experience.learn_time(exchange, attempt, failed=False)
             exchange.run_again(judgement.model)
 
-    def on_answered(self, exchange: Exchange, attempt: Attempt) -> None:
-        """Learn that an engine gave a whole answer."""
-        now_s = self.context.now_s()
-        engine = attempt.engine
-        bad = attempt.head.status >= _SERVER_ERROR
-        if engine.pauses and not bad:
-            self.context.log.emit(EngineBack(engine.entry.engine_id))
-        if bad:
-            self.context.metrics.count('engine_error')
-            engine.note_failure()
-        else:
-            engine.note_success(now_s)
-        self._learn_answer(exchange, attempt, failed=bad)
-        self.crashes.note_answered(exchange.fingerprint, engine)
-
-    def on_unanswered(
-        self,
-        exchange: Exchange,
-        attempt: Attempt,
-        failure: HttpFailed,
-    ) -> None:
-        """Learn that an engine gave no whole answer."""
-        engine = attempt.engine
-        now_s = self.context.now_s()
-        if failure.kind is FailureKind.LATE:
-            self._learn_answer(exchange, attempt, failed=False)
-        unreachable = failure.kind is FailureKind.SILENT
-        if not failure.maybe_started or unreachable:
-            pause_s = engine.pause(now_s)
-            self.context.client.close_idle_to(engine.entry.address)
-            self.context.log.emit(
-                EnginePaused(
-                    engine.entry.engine_id,
-                    failure.reason,
-                    pause_s,
-                    engine.requests,
-                ),
-            )
-        else:
-            engine.note_failure()
-        if failure.kind is FailureKind.REFUSED:
-            self.crashes.note_crash(engine)
-        elif failure.kind is FailureKind.BROKEN and failure.maybe_started:
-            self.crashes.note_broken(exchange.fingerprint, engine)
-
-    def on_rejected(self, exchange: Exchange, attempt: Attempt) -> None:
-        """Learn that an engine has not run a request."""
-        engine = attempt.engine
-        self.context.metrics.count('engine_rejected')
-        if not attempt.head.misdirected:
-            engine.note_failure()
-            return
-        # Another engine has the address; the registry will say so.
-        pause_s = engine.pause(self.context.now_s())
-        self.context.log.emit(
-            EnginePaused(
-                engine.entry.engine_id,
-                'another engine answers',
-                pause_s,
-                engine.requests,
-            ),
-        )
-
     def on_ended(self, exchange: Exchange) -> None:
         """Give the place of an ended exchange to the next."""
         self.running.discard(exchange)
@@ -248,7 +179,7 @@
             exchange.request,
             exchange.customer_name,
         )
-        if self.crashes.is_poison(exchange.fingerprint):
+        if self.experience.crashes.is_poison(exchange.fingerprint):
             exchange.refuse(
                 _UNAVAILABLE,
                 'the request has crashed its engines',
@@ -283,7 +214,7 @@
                 now_s,
             )
             self.context.sessions.note(seen)
-            self.guide.note_session(seen)
+            self._guide.note_session(seen)
         generation = exchange.request.generation
         if generation is not None and exchange.model is not None:
             self.context.engines.remember_parts(
@@ -297,7 +228,7 @@
     def _let_wait(self, exchange: Exchange, *, has_engines: bool) -> None:
         if id(exchange) in self._waiting:
             return
-        if not has_engines and not self._expects_engines(exchange):
+        if not has_engines and not self.candidates.expects_any(exchange):
             exchange.give_up_waiting('no engine', NO_ENGINE_RETRY_S)
             return
         newcomer = Waiting(
@@ -308,7 +239,7 @@
             self.context.now_s(),
             exchange.deadline_s
             if exchange.offered
-            else min(exchange.deadline_s, self._target_s(exchange)),
+            else min(exchange.deadline_s, exchange.target_s),
         )
         if not self.context.waiting.has_room(newcomer):
             exchange.give_up_waiting('overloaded', exchange.retry_after_s())
@@ -330,19 +261,6 @@
             ),
         )
 
-    def _target_s(self, exchange: Exchange) -> float:
-        return exchange.request.received_s + exchange.route.target_latency_s
-
-    def _expects_engines(self, exchange: Exchange) -> bool:
-        """Tell whether a paused engine may be back in time."""
-        horizon_s = self._target_s(exchange)
-        return any(
-            not engine.leaving
-            and not engine.unlisted
-            and engine.paused_until_s < horizon_s
-            for engine in self.context.engines.of_service(exchange.service)
-        )
-
     def _forget_waiting(self, exchange: Exchange) -> None:
         if self._waiting.pop(id(exchange), None) is not None:
             self.context.waiting.remove(exchange.service, exchange)
@@ -364,70 +282,6 @@
                 return
             waiting = following
 
-    def _find_candidates(self, exchange: Exchange) -> list[Engine]:
-        now_s = self.context.now_s()
-        pinned = None
-        if exchange.request.session is not None:
-            pinned = self.context.sessions.find(
-                exchange.service,
-                exchange.request.session,
-                now_s,
-            )
-        choice = self.guide.choose(
-            exchange.service,
-            exchange.version_key,
-            pinned,
-        )
-        if choice.only in exchange.failed_versions and pinned is None:
-            # A version on trial that has failed gets no second chance here.
-            choice = VersionChoice(excluded=choice.only)
-        usable = [
-            engine
-            for engine in self.context.engines.of_service(exchange.service)
-            if engine.is_open(now_s)
-        ]
-        fitting = [engine for engine in usable if _fits(engine, choice)]
-        if not (fitting or choice.strict):
-            fitting = usable
-        # An engine that failed this request is better than none.
-        return [each for each in fitting if exchange.may_use(each)] or fitting
-
-    def _offer(self, exchange: Exchange, model: str) -> Offer | None:
-        return self.context.placer.choose(
-            exchange.request,
-            self._find_candidates(exchange),
-            model,
-            self.context.now_s(),
-        )
-
-    def _has_place(self, engine: Engine) -> bool:
-        fresh_s = self.context.now_s() - PEER_NEWS_S
-        places = engine.entry.slots * PLACES_PER_SLOT
-        return engine.total_requests(fresh_s) < places
-
-    def _may_connect(self, engine: Engine) -> bool:
-        address = engine.entry.address
-        client = self.context.client
-        if client.has_idle(address):
-            return True
-        service = self.context.configuration.services.get(engine.entry.service)
-        if service is None:
-            return True
-        share = max(service.max_connections // max(self.hosts, 1), 2)
-        return client.open_counts[address] < share
-
-    def _learn_answer(
-        self,
-        exchange: Exchange,
-        attempt: Attempt,
-        *,
-        failed: bool,
-    ) -> None:
-        first_s = attempt.first_s or self.context.now_s()
-        observed_ms = (first_s - attempt.began_s) * _MILLISECONDS_PER_S
-        ratio = observed_ms / max(attempt.offer.first_token_ms, 1.0)
-        self.guide.note_answer(attempt.engine, ratio, failed=failed)
-
     def _sweep(self) -> None:
         for exchange in tuple(self.running):
             attempt = exchange.attempt
@@ -519,23 +373,3 @@
                 decision,
             ),
         )
-
-
-def choose_service(route: Route, key: str) -> str | None:
-    """Choose among the services of a route by their weights."""
-    total = sum(each.weight for each in route.services)
-    if not route.services:
-        return None
-    point = rank_engine(key, route.name) * total
-    for each in route.services:
-        point -= each.weight
-        if point < 0:
-            return each.service
-    return route.services[-1].service
-
-
-def _fits(engine: Engine, choice: VersionChoice) -> bool:
-    version = engine.entry.version
-    if version == choice.excluded:
-        return False
-    return choice.only is None or version == choice.only
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bamboodeck.gateway.candidates import choose_service
 from bamboodeck.gateway.model import (
     Customer,
     GatewayConfiguration,
@@ -15,7 +16,6 @@
     RouteTable,
     UnknownKey,
 )
-from bamboodeck.gateway.traffic import choose_service
 from bamboodeck.http.relay_server import CallerLimits
 from tests.gateway.samples import build_request
 
