Listen before the program is loaded

Change: the sockets of callers and of the balancer's checks listen as the first thing, found by a light reader of the settings; connections wait in the kernel while the rest is loaded.

Ruled out: a shorter down time; it is the platform's.

--- a/bamboodeck/gateway/__main__.py
+++ b/bamboodeck/gateway/__main__.py
@@ -1,6 +1,11 @@
 """Run the gateway process."""
 
-from bamboodeck.gateway.program import main
+from bamboodeck.gateway.early import listen_early
+from bamboodeck.platform.boot import find_listen_addresses
 
 if __name__ == '__main__':
-    main()
+    listeners = listen_early(find_listen_addresses())
+    # Loaded while the first callers connect.
+    from bamboodeck.gateway.program import main  # noqa: WPS433
+
+    main(listeners)
--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -2,12 +2,14 @@
 
 import time
 from collections.abc import Callable
+from types import MappingProxyType
 
 import msgspec
 
 from bamboodeck.environment import Environment
 from bamboodeck.gateway.context import GatewayContext, build_context
 from bamboodeck.gateway.discovery import Discovery
+from bamboodeck.gateway.early import Listeners
 from bamboodeck.gateway.events import (
     GatewayStarted,
     GatewayStopped,
@@ -54,6 +56,8 @@
 # After this a host that came back has caught up with its callers.
 LOAD_METRICS_AFTER_S = 5.0
 
+NO_LISTENERS: Listeners = MappingProxyType({})
+
 _OK = 200
 _UNAVAILABLE = 503
 _PLAIN = (Header('Content-Type', 'text/plain; charset=utf-8'),)
@@ -76,8 +80,12 @@
         platform: Platform,
         output: BoundedOutput,
         source: SettingsSource | None = None,
+        listeners: Listeners = NO_LISTENERS,
     ) -> None:
-        """Listen; callers wait until there is a configuration."""
+        """Listen; callers wait until there is a configuration.
+
+        `listeners` holds sockets that listen already, by their address.
+        """
         self._began_s = time.perf_counter()
         self.output = output
         self.loop = Loop(environment)
@@ -106,19 +114,23 @@
         self._codec = platform.codec
         self._source = source
         self.stopping_since_s: float | None = None
+        callers = settings.callers_listen
+        ready = settings.ready_listen
         open_descriptors = settings.max_descriptors - RESERVED_DESCRIPTORS
         self.callers = RelayServer(
             self.loop,
-            settings.callers_listen,
+            callers,
             self.traffic.handle,
             max_connections=max(int(open_descriptors * CALLER_PART), 16),
             accepting=False,
+            listener=listeners.get(msgspec.structs.astuple(callers)),
         )
         self.ready = RelayServer(
             self.loop,
-            settings.ready_listen,
+            ready,
             self._answer_ready,
             max_connections=PROBE_CONNECTIONS,
+            listener=listeners.get(msgspec.structs.astuple(ready)),
         )
         self.ready.limits = PROBE_LIMITS
         self.metrics = RelayServer(
--- a/bamboodeck/gateway/program.py
+++ b/bamboodeck/gateway/program.py
@@ -1,10 +1,12 @@
 """Run a gateway on the platform that its settings describe."""
 
 import sys
+from functools import partial
 
 from bamboodeck.environment import Environment
 from bamboodeck.errors import InputError
 from bamboodeck.gateway.app import GatewayApp
+from bamboodeck.gateway.early import Listeners
 from bamboodeck.gateway.output import BoundedOutput
 from bamboodeck.gateway.reload import SettingsSource
 from bamboodeck.loop.program import start_program
@@ -19,12 +21,12 @@
     """Report that there are no settings to read."""
 
 
-def main() -> None:
+def main(listeners: Listeners) -> None:
     """Serve until the process is told to stop."""
-    start_program(serve)
+    start_program(partial(serve, listeners=listeners))
 
 
-def serve(environment: Environment) -> None:
+def serve(environment: Environment, listeners: Listeners) -> None:
     """Read the settings and run; raise an error with every fault of them."""
     path = find_settings_path()
     if path is None:
@@ -35,4 +37,12 @@
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsPathError(f'{path}: {error}')
     output = BoundedOutput(sys.stdout.fileno())
-    GatewayApp(environment, settings, PLATFORM, output, source).run()
+    app = GatewayApp(
+        environment,
+        settings,
+        PLATFORM,
+        output,
+        source,
+        listeners,
+    )
+    app.run()
--- a/bamboodeck/http/relay_server.py
+++ b/bamboodeck/http/relay_server.py
@@ -18,12 +18,11 @@
     ParsedRequest,
     RequestIntake,
 )
+from bamboodeck.http.listening import open_listener
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.loop.poller import Watch
 from bamboodeck.loop.program import Loop
 
-# Longer than the burst of new connections when a neighbour is restarted.
-LISTEN_BACKLOG = 1024
 # Bounds one turn of the loop while many callers connect at once.
 MAX_ACCEPTS_PER_TURN = 64
 # A quarter of the shortest limit that a configuration may sensibly set.
@@ -182,10 +181,12 @@
         *,
         max_connections: int,
         accepting: bool = True,
+        listener: socket.socket | None = None,
     ) -> None:
         """Listen; port 0 takes a free port.
 
-        Without `accepting`, connections wait until `start_accepting`.
+        Without `accepting`, connections wait until `start_accepting`. A
+        `listener` is a socket that listens at the address already.
         """
         self.limits = CallerLimits()
         self.stopping = False
@@ -193,11 +194,7 @@
         self._loop = loop
         self._on_request = on_request
         self._max_connections = max_connections
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind((address.host, address.port))
-        self._sock.listen(LISTEN_BACKLOG)
-        self._sock.setblocking(False)
+        self._sock = listener or open_listener(address.host, address.port)
         self.address = Address(address.host, self._sock.getsockname()[1])
         self._watch: Watch | None = None
         self._listening = True
--- a/bamboodeck/platform/host_settings.py
+++ b/bamboodeck/platform/host_settings.py
@@ -5,6 +5,7 @@
 from bamboodeck.errors import InputError
 from bamboodeck.gateway.model import Bounds, HostSettings
 from bamboodeck.http.messages import Address, AddressError, parse_address
+from bamboodeck.platform import words
 
 MILLISECONDS_PER_S = 1000
 _NO_ADDRESS = Address('0.0.0.0', 0)
@@ -70,8 +71,8 @@
             for key, region in fields.items()
             if key.startswith('zones.')
         },
-        callers_listen=reader.address('listen.front'),
-        ready_listen=reader.address('listen.ready'),
+        callers_listen=reader.address(words.CALLERS_LISTEN_KEY),
+        ready_listen=reader.address(words.READY_LISTEN_KEY),
         peer_listen=Address(address, first_port),
         metrics_listen=Address(
             address,
--- a/bamboodeck/platform/words.py
+++ b/bamboodeck/platform/words.py
@@ -40,6 +40,10 @@
 STATUS_PREFIX = 'status/rollout/'
 OWN_PREFIX = 'bamboodeck/'
 
+# Where callers and the balancer's checks connect, in the settings.
+CALLERS_LISTEN_KEY = 'listen.front'
+READY_LISTEN_KEY = 'listen.ready'
+
 SETTINGS_VARIABLE = 'BAMBOODECK_SETTINGS'
 # Our own, set in deploy/system.toml, which names the port to the platform.
 METRICS_PORT_VARIABLE = 'BAMBOODECK_METRICS_PORT'
--- /dev/null
+++ b/tests/gateway/test_early.py
@@ -0,0 +1,67 @@
+"""Test that a process listens before the rest of it is loaded."""
+
+import runpy
+import socket
+import sys
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+from bamboodeck.gateway.early import Listeners, listen_early
+from bamboodeck.platform import words
+from bamboodeck.platform.boot import parse_listen_addresses
+from tests.ports import find_free_address
+
+
+class TestListenAddresses:
+    """Find the addresses in a settings file, whatever else is in it."""
+
+    def test_both(self) -> None:
+        """Return where callers and checks connect."""
+        text = 'ip=10.1.0.4\nlisten.front = 10.1.0.4:80\nlisten.ready=h:81\n'
+        assert parse_listen_addresses(text) == (('10.1.0.4', 80), ('h', 81))
+
+    @pytest.mark.parametrize(
+        'text',
+        ['', 'listen.front', 'listen.front=', 'listen.ready=10.1.0.4:x'],
+    )
+    def test_faults(self, text: str) -> None:
+        """Leave what can't be read to the checks of all settings."""
+        assert not parse_listen_addresses(text)
+
+
+class TestListening:
+    """Listen where it is possible."""
+
+    def test_taken(self) -> None:
+        """Leave an address out that another process has."""
+        address = find_free_address()
+        pair = (address.host, address.port)
+        first = listen_early([pair])
+        assert not listen_early([pair])
+        first[pair].close()
+
+    def test_while_loading(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Take connections before the program's module is imported."""
+        callers = find_free_address()
+        settings = tmp_path / 'settings'
+        settings.write_text(f'{words.CALLERS_LISTEN_KEY}={callers}\n')
+        monkeypatch.setenv(words.SETTINGS_VARIABLE, str(settings))
+        connected = []
+
+        def main(listeners: Listeners) -> None:
+            pair = (callers.host, callers.port)
+            with socket.create_connection(pair):
+                connected.append(pair)
+            listeners[pair].close()
+
+        program = ModuleType('bamboodeck.gateway.program')
+        program.main = main
+        monkeypatch.setitem(sys.modules, program.__name__, program)
+        runpy.run_module('bamboodeck.gateway', run_name='__main__')
+        assert connected
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -100,6 +100,9 @@
     def test_bad(self, world: GatewayWorld) -> None:
         """Roll a failing version back, by what several hosts have seen."""
         self.order(world, 40.0)
+        # Sessions settle first, however many a fast machine asks meanwhile.
+        world.until(lambda: self.state(world) is RolloutState.RUNNING)
+        world.wait(SETTLE_S)
         asked = 0
         while self.state(world) is not RolloutState.ROLLED_BACK:
             for engine_id in NEW:
