Share one host's calls to the store in larger zones; tell other zones less

Cause: on the grown deployments (66 and 84 hosts) each host waited at the store by itself (28 calls a second at rest), and half of the bytes between zones were news of hosts to hosts of other zones: all loads to six of them each second, four times that during a roll-out, so that each heard of another once in nine seconds, too old to be used. Small prompts were also drawn to other regions to keep them together.

Change: in zones of six hosts or more the first that is heard asks the store and tells the others (gateway/following); the others ask when what they were told grows old, or when a configuration, too large to be told, has changed. Far news holds evidence of versions on trial and crashes only, and is sent only if there are any. Prompts are kept together within the zone; bytes between zones weigh 25 ms a KB (12 before) and count the answer. Hosts that are missing when everything is read anew are unlisted. Evidence, membership, news and the link that carries it are modules of their own.

--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -98,10 +98,11 @@
         )
         registry = platform.build_registry(self.context.client, settings)
         self.fleet = Fleet(self.context, registry)
+        members = self.fleet.members
         self.guide = RolloutGuide(
             self.context,
             registry,
-            self.fleet.find_turn,
+            members.find_turn,
         )
         self.traffic = Traffic(self.context, platform.codec, self.guide)
         self.discovery = Discovery(
@@ -110,6 +111,7 @@
             self.guide,
             self._on_peer,
             self._on_configuration,
+            members.find_zone_place,
         )
         self._codec = platform.codec
         self._source = source
@@ -168,7 +170,7 @@
             LONGEST_HOLD_S,
             self.callers.start_accepting,
         )
-        self.fleet.start(self.guide)
+        self.fleet.start(self.guide, self.discovery)
         scheduler = self.loop.scheduler
         scheduler.call_every(DRAIN_LOG_S, self.output.drain)
         scheduler.call_every(LOG_SECOND_S, self._bound_log)
@@ -223,8 +225,9 @@
 
     def _on_peer(self, fact) -> None:
         self.fleet.take_peer(fact)
-        self.traffic.candidates.hosts = self.fleet.hosts
-        self.context.budget.hosts = self.fleet.hosts
+        hosts = self.fleet.members.hosts
+        self.traffic.candidates.hosts = hosts
+        self.context.budget.hosts = hosts
 
     def _on_configuration(self) -> None:
         self.callers.limits = self.context.configuration.limits
@@ -260,7 +263,7 @@
             ),
             'registry_revision': self.discovery.revision,
             'registry_age_s': now_s - context.registry_heard_s,
-            'hosts': self.fleet.hosts,
+            'hosts': self.fleet.members.hosts,
             'engines': sum(not each.unlisted for each in context.engines),
             'engines_open': sum(
                 each.is_open(now_s) for each in context.engines
--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -2,7 +2,8 @@
 
 Load pattern: the store is down, slow, forgetful or cut off for some hosts.
 What is known stays in force meanwhile. Engines that are missing just after an
-outage get time to return before they count as gone.
+outage get time to return before they count as gone. In larger zones most of
+the changes come as news of a neighbour.
 """
 
 from collections.abc import Callable, Iterable
@@ -17,7 +18,14 @@
     StoreLost,
     StoreRegained,
 )
+from bamboodeck.gateway.following import (
+    ChangeLog,
+    Schedule,
+    ZonePlace,
+    find_schedule,
+)
 from bamboodeck.gateway.model import EngineState
+from bamboodeck.gateway.news import StoreNews
 from bamboodeck.gateway.ports import (
     ConfigurationListed,
     EngineSeen,
@@ -37,20 +45,16 @@
     Update,
 )
 from bamboodeck.gateway.rollout_guide import RolloutGuide
+from bamboodeck.loop.scheduler import ScheduledCall
 
-# A store that went silent forgets the calls that wait. Each is given up within
-# the time after which a host has to follow the store again.
-ANSWER_SLACK_S = 1.0
-SHORTEST_WAIT_S = 1.0
-# Changes that follow each other are read together, since each call is paid for.
-# The news may then be late by this part of the time that it has.
-COALESCE_PART = 0.4
 # Calls to a store that doesn't answer, the first soon, the others bounded.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
 # Engines that live are listed again about two seconds after an outage.
 RELIST_S = 2.5
 
+_MILLISECONDS_PER_S = 1000
+
 
 class Discovery:
     """Read all that is listed, then follow its changes."""
@@ -62,8 +66,12 @@
         guide: RolloutGuide,
         on_peer: Callable[[PeerListed | PeerUnlisted], None],
         on_configuration: Callable[[], None],
+        find_place: Callable[[], ZonePlace],
     ) -> None:
-        """Know nothing yet."""
+        """Know nothing yet.
+
+        `find_place` tells this host's place in its zone.
+        """
         self.revision = 0
         self.complete = False
         self._context = context
@@ -71,6 +79,13 @@
         self._guide = guide
         self._on_peer = on_peer
         self._on_configuration = on_configuration
+        self._find_place = find_place
+        self._changes = ChangeLog()
+        self._hosts: set[str] = set()
+        # When the store itself has answered last, and whether a call runs.
+        self._answered_s = 0.0
+        self._asking = False
+        self._timer: ScheduledCall | None = None
         self._lost_since_s: float | None = None
         self._relist_until_s = 0.0
         self._retry_s = FIRST_RETRY_S
@@ -78,38 +93,114 @@
 
     def start(self) -> None:
         """Read all that is listed."""
+        self._asking = True
         self._registry.read_all(self._take)
 
+    def tell(self) -> StoreNews | None:
+        """Return the news for the zone, if this host asks for it."""
+        schedule = self._schedule()
+        now_s = self._context.now_s()
+        # A host that was told by others has nothing newer to tell.
+        recent = now_s - self._answered_s <= 2 * schedule.wait_s
+        if not (schedule.tells and self.complete and recent):
+            return None
+        return self._changes.tell(
+            self.revision,
+            now_s,
+            heard_s=self._answered_s,
+            relist_until_s=self._relist_until_s,
+        )
+
+    def take_news(self, news: StoreNews) -> None:
+        """Follow what a host of the zone has learned from the store."""
+        if not self.complete or news.revision < self.revision:
+            return
+        missed = news.after_revision > self.revision
+        if missed or news.untold > self.revision:
+            self._ask()
+            return
+        now_s = self._context.now_s()
+        if self._lost_since_s is not None:
+            self._regain(news.revision)
+        self._relist_until_s = max(
+            self._relist_until_s,
+            now_s + news.relist_ms / _MILLISECONDS_PER_S,
+        )
+        if news.revision > self.revision:
+            self._take_changes(news.facts, news.revision)
+        self._context.registry_heard_s = max(
+            self._context.registry_heard_s,
+            now_s - news.age_ms / _MILLISECONDS_PER_S,
+        )
+
     def _take(self, reply: RegistryReply) -> None:
+        self._asking = False
         match reply:
             case Snapshot(facts=facts, revision=revision):
-                self._regain(revision)
+                self._note_answer(revision)
                 # An answer older than what is known would turn back time.
                 if revision >= self.revision:
                     self._take_snapshot(facts, revision)
-                self._follow()
+                self._call_in(0)
             case Update(facts=facts, revision=revision):
-                self._regain(revision)
-                self._apply(facts)
-                self.revision = max(self.revision, revision)
-                self._context.loop.scheduler.call_after(
-                    self._coalesce_s() if facts else 0,
-                    self._follow,
-                )
+                self._note_answer(revision)
+                if revision > self.revision:
+                    self._take_changes(facts, revision)
+                self._call_in(self._schedule().pause_s if facts else 0)
             case HistoryLost():
                 self._context.metrics.count('history_lost')
                 self.start()
             case RegistryFailed(reason=reason):
                 self._lose(reason)
 
-    def _coalesce_s(self) -> float:
-        bounds = self._context.settings.bounds
-        return COALESCE_PART * min(bounds.drain_s, bounds.configuration_s)
+    def _schedule(self) -> Schedule:
+        return find_schedule(
+            self._find_place(),
+            self._context.settings.bounds,
+        )
+
+    def _call_in(self, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._context.loop.scheduler.call_after(
+            delay_s,
+            self._follow,
+        )
 
     def _follow(self) -> None:
-        stability_s = self._context.settings.bounds.stability_s
-        wait_s = max(stability_s - ANSWER_SLACK_S, SHORTEST_WAIT_S)
-        self._registry.wait_for_changes(self.revision, wait_s, self._take)
+        schedule = self._schedule()
+        due_s = self._context.registry_heard_s + schedule.patience_s
+        left_s = due_s - self._context.now_s()
+        if left_s > 0 and self._lost_since_s is None:
+            self._call_in(left_s)
+            return
+        self._ask()
+
+    def _ask(self) -> None:
+        if self._asking:
+            return
+        if not self.complete:
+            self.start()
+            return
+        self._asking = True
+        self._registry.wait_for_changes(
+            self.revision,
+            self._schedule().wait_s,
+            self._take,
+        )
+
+    def _note_answer(self, revision: int) -> None:
+        now_s = self._context.now_s()
+        self._context.registry_heard_s = now_s
+        self._answered_s = now_s
+        self._regain(revision)
+
+    def _take_changes(self, facts: Iterable[Fact], revision: int) -> None:
+        newer = [fact for fact in facts if fact.revision > self.revision]
+        now_s = self._context.now_s()
+        self._changes.note(self.revision, revision, newer, now_s)
+        self._apply(newer)
+        self.revision = revision
 
     def _lose(self, reason: str) -> None:
         now_s = self._context.now_s()
@@ -126,15 +217,13 @@
         spread = 0.5 + self._context.environment.random.random()
         delay_s = self._retry_s * spread
         self._retry_s = min(self._retry_s * 2, LONGEST_RETRY_S)
-        again = self._follow if self.complete else self.start
-        self._context.loop.scheduler.call_after(delay_s, again)
+        self._call_in(delay_s)
 
     def _regain(self, revision: int) -> None:
-        now_s = self._context.now_s()
-        self._context.registry_heard_s = now_s
         self._retry_s = FIRST_RETRY_S
         if self._lost_since_s is None:
             return
+        now_s = self._context.now_s()
         away_s = now_s - self._lost_since_s
         self._lost_since_s = None
         if self.complete:
@@ -152,6 +241,10 @@
             engine_id = engine.entry.engine_id
             if engine_id not in listed:
                 self._unlist(EngineUnlisted(engine_id, 'not listed', revision))
+        hosts = {fact.host for fact in facts if isinstance(fact, PeerListed)}
+        for host in self._hosts - hosts:
+            self._apply_one(PeerUnlisted(host, revision))
+        self._changes.note_all_read(revision, self._context.now_s())
         self.revision = revision
         self.complete = True
 
@@ -169,7 +262,11 @@
                 self._unlist(fact)
             case RolloutOrdered() | RolloutStatusListed() | RolloutStepListed():
                 self._guide.take(fact)
-            case PeerListed() | PeerUnlisted():
+            case PeerListed(host=host):
+                self._hosts.add(host)
+                self._on_peer(fact)
+            case PeerUnlisted(host=host):
+                self._hosts.discard(host)
                 self._on_peer(fact)
             case Unreadable(key=key, reason=reason, revision=revision):
                 self._context.metrics.count('document_skipped')
--- /dev/null
+++ b/bamboodeck/gateway/evidence.py
@@ -0,0 +1,111 @@
+"""Count how answers were during roll-outs, on this host and on the others."""
+
+from collections.abc import Collection, Mapping
+
+import msgspec
+
+from bamboodeck.gateway.news import EvidenceTold, TrialCounts, UsualCounts
+from bamboodeck.gateway.rollouts import AnswerCounts, sum_counts
+
+
+class OthersCounts(msgspec.Struct, frozen=True):
+    """Hold what another host has counted."""
+
+    # By engine of the versions on trial.
+    trial: Mapping[str, AnswerCounts]
+    # By service, of all its other versions together.
+    usual: Mapping[str, AnswerCounts]
+
+
+class ServiceEngines(msgspec.Struct, frozen=True):
+    """Name the engines of a service of which a version is on trial."""
+
+    service: str
+    trial: Collection[str]
+    usual: Collection[str]
+
+
+class Evidence:
+    """Hold the counts since the newest order of a roll-out."""
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self._own: dict[str, AnswerCounts] = {}
+        self._others: dict[str, OthersCounts] = {}
+
+    def note(self, engine_id: str, *, failed: bool, slow: bool) -> None:
+        """Count an answer."""
+        counts = self._own.get(engine_id, AnswerCounts())
+        self._own[engine_id] = AnswerCounts(
+            counts.answers + 1,
+            counts.failed + failed,
+            counts.slow + slow,
+        )
+
+    def merge(self, host: str, told: EvidenceTold) -> None:
+        """Take what another host has counted since the order."""
+        self._others[host] = OthersCounts(
+            {
+                each.engine_id: AnswerCounts(
+                    each.answers,
+                    each.failed,
+                    each.slow,
+                )
+                for each in told.trial
+            },
+            {
+                each.service: AnswerCounts(
+                    each.answers,
+                    each.failed,
+                    each.slow,
+                )
+                for each in told.usual
+            },
+        )
+
+    def tell(self, services: Collection[ServiceEngines]) -> EvidenceTold:
+        """Return what this host has counted, as the others need it."""
+        trial = []
+        usual = []
+        for engines in services:
+            trial.extend(
+                TrialCounts(engine_id, *_figures(self._own[engine_id]))
+                for engine_id in engines.trial
+                if engine_id in self._own
+            )
+            counts = self._sum_own(engines.usual)
+            if counts.answers:
+                usual.append(UsualCounts(engines.service, *_figures(counts)))
+        return EvidenceTold(tuple(trial), tuple(usual))
+
+    def count_trial(self, engines: ServiceEngines) -> dict[str, AnswerCounts]:
+        """Return the counts of all hosts by engine on trial."""
+        sources = (self._own, *(each.trial for each in self._others.values()))
+        summed = {}
+        for engine_id in engines.trial:
+            found = [
+                source[engine_id] for source in sources if engine_id in source
+            ]
+            if found:
+                summed[engine_id] = sum_counts(found)
+        return summed
+
+    def count_usual(self, engines: ServiceEngines) -> AnswerCounts:
+        """Return the counts of all hosts for the other versions."""
+        others = [
+            each.usual[engines.service]
+            for each in self._others.values()
+            if engines.service in each.usual
+        ]
+        return sum_counts([self._sum_own(engines.usual), *others])
+
+    def _sum_own(self, engine_ids: Collection[str]) -> AnswerCounts:
+        return sum_counts(
+            self._own[engine_id]
+            for engine_id in engine_ids
+            if engine_id in self._own
+        )
+
+
+def _figures(counts: AnswerCounts) -> tuple[int, int, int]:
+    return (counts.answers, counts.failed, counts.slow)
--- /dev/null
+++ b/bamboodeck/gateway/membership.py
@@ -0,0 +1,135 @@
+"""List this host for its peers, and keep the list of them."""
+
+import msgspec
+
+from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.events import MembershipFailed, PeerGone, PeerSeen
+from bamboodeck.gateway.following import ZonePlace
+from bamboodeck.gateway.ports import (
+    LeaseLapsed,
+    PeerListed,
+    PeerUnlisted,
+    Registry,
+    WriteReply,
+    Written,
+)
+from bamboodeck.http.messages import Address
+
+# A host that ended without a word is unlisted after this. Nothing but shares
+# of budgets waits for it, as hosts hear of each other far more often.
+LEASE_S = 15.0
+RENEW_PERIOD_S = 5.0
+# A neighbour is heard four times in this, so three lost news are borne.
+HEARD_WITHIN_S = 1.0
+
+
+class Peer(msgspec.Struct):
+    """Hold what is known of another host."""
+
+    host: str
+    address: Address
+    zone: str
+    heard_s: float = 0.0
+
+
+class Membership:
+    """Follow which hosts serve, and renew this host's own entry."""
+
+    def __init__(self, context: GatewayContext, registry: Registry) -> None:
+        """Know no other host yet."""
+        self.peers: dict[str, Peer] = {}
+        self._context = context
+        self._registry = registry
+        self._listed = False
+
+    @property
+    def hosts(self) -> int:
+        """Return how many hosts serve, this one included."""
+        return len(self.peers) + 1
+
+    def start(self) -> None:
+        """List this host, and keep it listed."""
+        self._context.loop.scheduler.call_every(RENEW_PERIOD_S, self._renew)
+        self._list()
+
+    def find_turn(self) -> int:
+        """Return this host's place in the order of all hosts."""
+        own = self._context.settings.host
+        return sum(host < own for host in self.peers)
+
+    def find_zone_place(self) -> ZonePlace:
+        """Return this host's place among those of its zone that live."""
+        since_s = self._context.now_s() - HEARD_WITHIN_S
+        own = self._context.settings.host
+        living = [peer for peer in self.near() if peer.heard_s >= since_s]
+        return ZonePlace(
+            place=sum(peer.host < own for peer in living),
+            hosts=len(living) + 1,
+        )
+
+    def near(self) -> list[Peer]:
+        """Return the other hosts of this host's zone."""
+        zone = self._context.settings.zone
+        return [peer for peer in self.peers.values() if peer.zone == zone]
+
+    def far(self) -> list[Peer]:
+        """Return the hosts of other zones."""
+        zone = self._context.settings.zone
+        return [peer for peer in self.peers.values() if peer.zone != zone]
+
+    def note_heard(self, host: str) -> None:
+        """Learn that a host lives."""
+        peer = self.peers.get(host)
+        if peer is not None:
+            peer.heard_s = self._context.now_s()
+
+    def take(self, fact: PeerListed | PeerUnlisted) -> str | None:
+        """Follow the list of hosts; return the host that has gone, if any."""
+        own = self._context.settings.host
+        match fact:
+            case PeerListed(host=host) if host != own:
+                self._add(fact)
+            case PeerUnlisted(host=host) if host == own:
+                self._listed = False
+            case PeerUnlisted(host=host) if host in self.peers:
+                self.peers.pop(host)
+                self._context.log.emit(PeerGone(host, self.hosts))
+                return host
+        return None
+
+    def _add(self, fact: PeerListed) -> None:
+        known = self.peers.get(fact.host)
+        if known is not None and known.address == fact.address:
+            return
+        self.peers[fact.host] = Peer(fact.host, fact.address, fact.zone)
+        self._context.log.emit(
+            PeerSeen(fact.host, str(fact.address), self.hosts),
+        )
+
+    def _list(self) -> None:
+        settings = self._context.settings
+        self._registry.list_host(
+            settings.host,
+            settings.zone,
+            settings.peer_listen,
+            LEASE_S,
+            self._on_listed,
+        )
+
+    def _renew(self) -> None:
+        if self._listed:
+            self._registry.renew_host(self._on_listed)
+        else:
+            self._list()
+
+    def _on_listed(self, reply: WriteReply) -> None:
+        match reply:
+            case Written():
+                self._listed = True
+            case LeaseLapsed():
+                self._listed = False
+                self._list()
+            case _:
+                # Tried again in the next period.
+                self._context.metrics.count('membership_failed')
+                self._context.log.emit(MembershipFailed(repr(reply)))
--- /dev/null
+++ b/bamboodeck/gateway/news.py
@@ -0,0 +1,107 @@
+"""Define what the hosts of a fleet tell each other."""
+
+import msgspec
+
+from bamboodeck.gateway.ports import TellableFact
+
+
+class EngineLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Tell what a host has running on an engine."""
+
+    engine_id: str
+    requests: int
+    work_ms: int
+
+
+class TrialCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Count a host's answers of one engine of a version on trial."""
+
+    engine_id: str
+    answers: int
+    failed: int
+    slow: int
+
+
+class UsualCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Count a host's answers of a service's other versions."""
+
+    service: str
+    answers: int
+    failed: int
+    slow: int
+
+
+class EvidenceTold(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how the answers were during the roll-outs that are under way."""
+
+    trial: tuple[TrialCounts, ...] = ()
+    usual: tuple[UsualCounts, ...] = ()
+
+
+class CrashTold(msgspec.Struct, frozen=True, array_like=True):
+    """Tell of a request that ran on an engine when it crashed."""
+
+    fingerprint: str
+    engine_id: str
+    crashed_unix_s: float
+
+
+class SessionTold(msgspec.Struct, frozen=True, array_like=True):
+    """Tell on which version a session last ran."""
+
+    service: str
+    session: str
+    version: str
+    # How long before the news it last ran.
+    age_ms: int
+
+
+class NearNews(msgspec.Struct, frozen=True, array_like=True, tag='near'):
+    """Tell the hosts of the zone what runs where."""
+
+    loads: tuple[EngineLoad, ...] = ()
+    evidence: EvidenceTold = EvidenceTold()
+    crashes: tuple[CrashTold, ...] = ()
+
+
+class FarNews(msgspec.Struct, frozen=True, array_like=True, tag='far'):
+    """Tell hosts of other zones what concerns them too."""
+
+    evidence: EvidenceTold = EvidenceTold()
+    crashes: tuple[CrashTold, ...] = ()
+
+
+class SessionNews(msgspec.Struct, frozen=True, array_like=True, tag='session'):
+    """Tell all hosts of sessions that have to stay on their version."""
+
+    sessions: tuple[SessionTold, ...]
+
+
+class StoreNews(msgspec.Struct, frozen=True, array_like=True, tag='store'):
+    """Tell the hosts of the zone what the store lists.
+
+    The facts are all changes after one revision and up to another, but for
+    those that are too large to be told: up to the revision `untold` a host
+    has to ask the store itself.
+    """
+
+    after_revision: int
+    revision: int
+    untold: int
+    # How long ago the store has confirmed that this is all.
+    age_ms: int
+    # How long engines that are missing after an outage may still return.
+    relist_ms: int
+    facts: tuple[TellableFact, ...] = ()
+
+
+News = NearNews | FarNews | SessionNews | StoreNews
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """Name the sender of news and order them."""
+
+    host: str
+    started_unix_ms: int
+    number: int
+    news: News
--- /dev/null
+++ b/bamboodeck/gateway/news_link.py
@@ -0,0 +1,114 @@
+"""Carry news between hosts as datagrams.
+
+The news is soft state: each replaces the sender's last one of its kind, and a
+lost one is made up for by the next. So it goes by UDP; a queue of a connection
+would deliver news that is out of date.
+"""
+
+import contextlib
+import socket
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from bamboodeck.environment import Environment
+from bamboodeck.gateway.measures import GatewayMetrics
+from bamboodeck.gateway.news import Envelope, News
+from bamboodeck.http.messages import Address
+from bamboodeck.loop.poller import DirectPoller
+
+MAX_DATAGRAM_BYTES = 60_000
+
+# Gets the sender's name and its news.
+NewsHandler = Callable[[str, Any], None]
+
+
+class NewsLink:
+    """Send news, and hand those of other hosts to their handlers."""
+
+    def __init__(
+        self,
+        host: str,
+        address: Address,
+        environment: Environment,
+        poller: DirectPoller,
+        metrics: GatewayMetrics,
+    ) -> None:
+        """Bind the address for news."""
+        self._host = host
+        self._metrics = metrics
+        self._poller = poller
+        self._started_unix_ms = int(environment.wall_s() * 1000)
+        self._sent = 0
+        self._newest: dict[tuple[str, type], tuple[int, int]] = {}
+        self._handlers: dict[type, NewsHandler] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind((address.host, address.port))
+        self._sock.setblocking(False)
+        self._watch = poller.watch(
+            self._sock.fileno(),
+            self._receive,
+            _ignore,
+        )
+
+    def handle(self, kind: type, handler: NewsHandler) -> None:
+        """Hand all news of a kind to a function."""
+        self._handlers[kind] = handler
+
+    def send(self, news: News, addresses: Iterable[Address]) -> bool:
+        """Send news; tell whether it was small enough."""
+        self._sent += 1
+        datagram = self._encoder.encode(
+            Envelope(self._host, self._started_unix_ms, self._sent, news),
+        )
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            self._metrics.count('news_too_large')
+            return False
+        for address in addresses:
+            with contextlib.suppress(OSError):
+                # Lost news is made up for by the next.
+                self._sock.sendto(datagram, (address.host, address.port))
+        return True
+
+    def forget(self, host: str) -> None:
+        """Forget how new the news of a host was."""
+        for key in tuple(self._newest):
+            if key[0] == host:
+                self._newest.pop(key)
+
+    def close(self) -> None:
+        """Send and receive nothing more."""
+        self._poller.unwatch(self._watch)
+        self._sock.close()
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                datagram = self._sock.recv(MAX_DATAGRAM_BYTES + 1)
+            except OSError:
+                # Nothing more waits.
+                return
+            try:
+                envelope = self._decoder.decode(datagram)
+            except msgspec.MsgspecError:
+                self._metrics.count('news_unreadable')
+                continue
+            self._take(envelope)
+
+    def _take(self, envelope: Envelope) -> None:
+        handler = self._handlers.get(type(envelope.news))
+        if handler is None or envelope.host == self._host:
+            return
+        key = (envelope.host, type(envelope.news))
+        age = (envelope.started_unix_ms, envelope.number)
+        if age <= self._newest.get(key, (0, 0)):
+            return
+        self._newest[key] = age
+        handler(envelope.host, envelope.news)
+
+
+def _ignore() -> None:
+    """Datagrams are sent at once or not at all."""
--- a/bamboodeck/gateway/placement.py
+++ b/bamboodeck/gateway/placement.py
@@ -24,12 +24,16 @@
 # Round trips to another zone, and to one in another region.
 ZONE_MS = 2.0
 REGION_MS = 40.0
-# Bytes between zones are paid for: a KB of body weighs like so much delay.
-REMOTE_MS_PER_KB = 12.0
+# Bytes between zones are paid for: a KB weighs like so much delay. At the
+# prices seen, sending a prompt costs about what it does to read it again.
+REMOTE_MS_PER_KB = 25.0
+# Heads of a request and its answer, and what one token of an answer takes.
+HEAD_BYTES = 1000
+TOKEN_BYTES = 12
 # A failed attempt costs about this much, besides its engine's time.
 FAILURE_MS = 600.0
-# Of equally good engines hosts prefer the same one for the same prompt, as
-# another host may have had it read there.
+# Of equally good engines of a zone its hosts prefer the same one for the same
+# prompt, as another host may have had it read there.
 AFFINITY_MS = 60.0
 # A larger fleet's news is older: about three times the period of the news.
 PEER_NEWS_S = 2.0
@@ -90,7 +94,10 @@
         for engine in candidates:
             offer = self._price(request, engine, model, now_s)
             if affinity:
-                rank = rank_engine(affinity, engine.entry.engine_id)
+                # Keeping prompts together isn't worth bytes between zones.
+                rank = 1.0
+                if engine.entry.zone == self._position.zone:
+                    rank = rank_engine(affinity, engine.entry.engine_id)
                 offer = Offer(
                     engine,
                     offer.cost_ms + AFFINITY_MS * rank,
@@ -123,7 +130,7 @@
         first_token_ms = wait_ms + distance_ms
         cost_ms = first_token_ms + FAILURE_MS * engine.failure_rate
         if distance_ms:
-            cost_ms += REMOTE_MS_PER_KB * len(request.body) / 1000
+            cost_ms += REMOTE_MS_PER_KB * _count_bytes(request) / 1000
         return Offer(engine, cost_ms, first_token_ms, work_ms)
 
     def _reading_ms(
@@ -143,6 +150,13 @@
         return self._pace.reading_ms(model, unread)
 
 
+def _count_bytes(request: CallerRequest) -> int:
+    count = HEAD_BYTES + len(request.body)
+    if request.generation is not None:
+        count += TOKEN_BYTES * request.generation.output_tokens
+    return count
+
+
 def find_affinity(generation: Generation | None) -> str:
     """Return the part of a prompt by which requests are kept together."""
     if generation is None or not generation.parts:
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -56,14 +56,14 @@
     revision: int
 
 
-class EngineSeen(msgspec.Struct, frozen=True):
+class EngineSeen(msgspec.Struct, frozen=True, tag=True):
     """Tell of an engine's entry."""
 
     entry: EngineEntry
     revision: int
 
 
-class EngineUnlisted(msgspec.Struct, frozen=True):
+class EngineUnlisted(msgspec.Struct, frozen=True, tag=True):
     """Tell that an engine has no entry, or none that can be read."""
 
     engine_id: str
@@ -71,14 +71,14 @@
     revision: int
 
 
-class RolloutOrdered(msgspec.Struct, frozen=True):
+class RolloutOrdered(msgspec.Struct, frozen=True, tag=True):
     """Tell of an operator's order for a roll-out."""
 
     order: RolloutOrder
     revision: int
 
 
-class RolloutStatusListed(msgspec.Struct, frozen=True):
+class RolloutStatusListed(msgspec.Struct, frozen=True, tag=True):
     """Tell of the status of a service's roll-out."""
 
     service: str
@@ -96,14 +96,14 @@
     began_unix_s: float
 
 
-class RolloutStepListed(msgspec.Struct, frozen=True):
+class RolloutStepListed(msgspec.Struct, frozen=True, tag=True):
     """Tell of the step that the fleet has agreed on."""
 
     step: RolloutStep
     revision: int
 
 
-class PeerListed(msgspec.Struct, frozen=True):
+class PeerListed(msgspec.Struct, frozen=True, tag=True):
     """Tell where another host of the fleet listens for news."""
 
     host: str
@@ -112,7 +112,7 @@
     revision: int
 
 
-class PeerUnlisted(msgspec.Struct, frozen=True):
+class PeerUnlisted(msgspec.Struct, frozen=True, tag=True):
     """Tell that a host of the fleet is no longer listed."""
 
     host: str
@@ -127,17 +127,17 @@
     revision: int
 
 
-Fact = (
-    ConfigurationListed
-    | EngineSeen
+# What hosts may also learn from each other; each is tagged for that.
+TellableFact = (
+    EngineSeen
     | EngineUnlisted
     | RolloutOrdered
     | RolloutStatusListed
     | RolloutStepListed
     | PeerListed
     | PeerUnlisted
-    | Unreadable
 )
+Fact = ConfigurationListed | TellableFact | Unreadable
 
 
 class Snapshot(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/rollout_guide.py
+++ b/bamboodeck/gateway/rollout_guide.py
@@ -5,7 +5,7 @@
 each host waits for its turn before it writes, so that one write is the rule.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -17,7 +17,9 @@
     RolloutSeen,
     RolloutWritten,
 )
+from bamboodeck.gateway.evidence import Evidence, ServiceEngines
 from bamboodeck.gateway.model import RolloutOrder, RolloutState, RolloutStatus
+from bamboodeck.gateway.news import EvidenceTold
 from bamboodeck.gateway.ports import (
     Registry,
     RolloutOrdered,
@@ -28,7 +30,6 @@
     Written,
 )
 from bamboodeck.gateway.rollouts import (
-    AnswerCounts,
     SlowRatio,
     VersionChoice,
     choose_version,
@@ -81,27 +82,6 @@
         return self.state in _TERMINAL
 
 
-class Evidence(msgspec.Struct):
-    """Count answers by engine, of this host and of the others."""
-
-    own: dict[str, AnswerCounts] = msgspec.field(default_factory=dict)
-    others: dict[str, dict[str, AnswerCounts]] = msgspec.field(
-        default_factory=dict
-    )
-
-    def total(self, engine_ids: Iterable[str]) -> dict[str, AnswerCounts]:
-        """Return the counts of all hosts for some engines."""
-        sources = (self.own, *self.others.values())
-        summed = {}
-        for engine_id in engine_ids:
-            found = [
-                source[engine_id] for source in sources if engine_id in source
-            ]
-            if found:
-                summed[engine_id] = sum_counts(found)
-        return summed
-
-
 class RolloutGuide:
     """Tell which version a request may use, and move roll-outs on."""
 
@@ -270,38 +250,46 @@
             slow_ratio.learn(time_ratio)
         if rollout is None or rollout.ended:
             return
-        engine_id = engine.entry.engine_id
-        counts = self.evidence.own.get(engine_id, AnswerCounts())
-        self.evidence.own[engine_id] = AnswerCounts(
-            counts.answers + 1,
-            counts.failed + failed,
-            counts.slow + slow,
-        )
+        self.evidence.note(engine.entry.engine_id, failed=failed, slow=slow)
         if failed or slow:
             self._judge(rollout)
 
-    def merge(self, host: str, counts: dict[str, AnswerCounts]) -> None:
+    def tell_evidence(self) -> EvidenceTold:
+        """Return what other hosts have to hear of the answers here."""
+        return self.evidence.tell(
+            [
+                self._list_engines(rollout)
+                for rollout in self._rollouts.values()
+                if not rollout.ended
+            ],
+        )
+
+    def merge(self, host: str, told: EvidenceTold) -> None:
         """Take what another host has counted since the order."""
-        self.evidence.others[host] = counts
+        self.evidence.merge(host, told)
         for rollout in self._rollouts.values():
             self._judge(rollout)
 
+    def _list_engines(self, rollout: Rollout) -> ServiceEngines:
+        trial = []
+        usual = []
+        service = rollout.order.service
+        for engine in self._context.engines.of_service(service):
+            is_trial = engine.entry.version == rollout.order.version
+            ids = trial if is_trial else usual
+            ids.append(engine.entry.engine_id)
+        return ServiceEngines(service, trial, usual)
+
     def _judge(self, rollout: Rollout) -> None:
         if rollout.bad or rollout.ended:
             return
-        new_ids = []
-        old_ids = []
-        for engine in self._context.engines.of_service(rollout.order.service):
-            is_new = engine.entry.version == rollout.order.version
-            ids = new_ids if is_new else old_ids
-            ids.append(engine.entry.engine_id)
-        new = self.evidence.total(new_ids)
-        old = self.evidence.total(old_ids)
-        if not is_bad(new, old):
+        engines = self._list_engines(rollout)
+        trial = self.evidence.count_trial(engines)
+        before = self.evidence.count_usual(engines)
+        if not is_bad(trial, before):
             return
         rollout.bad = True
-        after = sum_counts(new.values())
-        before = sum_counts(old.values())
+        after = sum_counts(trial.values())
         self._context.metrics.count('version_judged_bad')
         self._context.log.warn(
             RolloutJudged(
--- a/bamboodeck/gateway/rollouts.py
+++ b/bamboodeck/gateway/rollouts.py
@@ -89,15 +89,17 @@
 
 def is_bad(
     new: Mapping[str, AnswerCounts],
-    old: Mapping[str, AnswerCounts],
+    before: AnswerCounts,
 ) -> bool:
-    """Tell whether a version fails or is slow more often than before."""
+    """Tell whether a version fails or is slow more often than before.
+
+    `new` holds the counts of its engines.
+    """
     judged = list(new.values())
     if len(judged) >= FEWEST_ENGINES:
         worst = max(judged, key=lambda counts: counts.failed + counts.slow)
         judged.remove(worst)
     after = sum_counts(judged)
-    before = sum_counts(old.values())
     return fails_more(
         (after.answers, after.failed),
         (before.answers, before.failed),
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bamboodeck.fakes.platform.store import StoreMood
-from bamboodeck.gateway import discovery
+from bamboodeck.gateway import discovery, following
 from bamboodeck.platform import store, words
 from tests.gateway.world import (
     CHAT,
@@ -20,8 +20,8 @@
 @pytest.fixture
 def world(monkeypatch: pytest.MonkeyPatch) -> Iterator[GatewayWorld]:
     """Run one gateway that gives silent calls up soon."""
-    monkeypatch.setattr(discovery, 'ANSWER_SLACK_S', 1.8)
-    monkeypatch.setattr(discovery, 'SHORTEST_WAIT_S', 0.1)
+    monkeypatch.setattr(following, 'ANSWER_SLACK_S', 1.8)
+    monkeypatch.setattr(following, 'SHORTEST_WAIT_S', 0.1)
     monkeypatch.setattr(store, 'WATCH_SLACK_S', 0.1)
     monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.3)
     world = GatewayWorld()
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -1,18 +1,26 @@
 """Test what hosts tell each other."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 import pytest
 
 from bamboodeck.fakes.platform.engine import EngineFault
-from bamboodeck.gateway.model import RolloutState
+from bamboodeck.gateway import fleet, following
+from bamboodeck.gateway.model import Bounds, RolloutState
+from bamboodeck.gateway.news import News
 from bamboodeck.gateway.rollout_guide import SETTLE_S
 from bamboodeck.gateway.rollouts import falls_in_share, share_at
-from bamboodeck.http.messages import Header
+from bamboodeck.http.messages import Address, Header
 from bamboodeck.platform import words
 from bamboodeck.platform.documents import decode_status
-from tests.gateway.world import CHAT, MODELS, SMALL, GatewayWorld
+from tests.gateway.world import (
+    CHAT,
+    MODELS,
+    SMALL,
+    GatewayWorld,
+    build_configuration,
+)
 
 HOSTS = 3
 STATUS_KEY = f'{words.STATUS_PREFIX}{MODELS}'
@@ -25,7 +33,9 @@
     world.add_engine('model-1')
     world.add_engine('model-2')
     world.until_engines(2)
-    world.until(lambda: all(app.fleet.hosts == HOSTS for app in world.apps))
+    world.until(
+        lambda: all(app.fleet.members.hosts == HOSTS for app in world.apps)
+    )
     yield world
     world.close()
 
@@ -53,7 +63,7 @@
 
     def test_turns(self, world: GatewayWorld) -> None:
         """Give each host a turn of its own."""
-        turns = sorted(app.fleet.find_turn() for app in world.apps)
+        turns = sorted(app.fleet.members.find_turn() for app in world.apps)
         assert turns == list(range(HOSTS))
 
 
@@ -147,13 +157,104 @@
         """Go on when the host that wrote last is gone."""
         self.order(world, 4.0)
         world.until(lambda: self.state(world) is RolloutState.RUNNING)
-        first = min(world.apps, key=lambda app: app.fleet.find_turn())
+        first = min(world.apps, key=lambda app: app.fleet.members.find_turn())
         world.apps.remove(first)
         world.until(lambda: self.state(world) is RolloutState.COMPLETED)
         first.callers.stop_accepting()
-        first.fleet.close()
+        first.fleet.link.close()
 
 
 OLD = ('model-1', 'model-2')
 NEW = ('model-3', 'model-4')
 FAILING = (EngineFault.ERROR,) * 2
+
+
+class TestFollowing:
+    """Follow the store by a neighbour's calls in a larger zone."""
+
+    @pytest.fixture
+    def zone(self, monkeypatch: pytest.MonkeyPatch) -> Iterator[GatewayWorld]:
+        """Run several gateways in one zone, which share calls."""
+        monkeypatch.setattr(following, 'FEWEST_SHARING', HOSTS)
+        world = GatewayWorld(0)
+        for number in range(HOSTS):
+            world.start_host(f'host-{number + 1}', 'gent', Bounds())
+        world.until(
+            lambda: (
+                [
+                    app.fleet.members.find_zone_place().hosts
+                    for app in world.apps
+                ]
+                == [HOSTS] * HOSTS
+            ),
+        )
+        # Calls that were begun before the hosts had heard of each other.
+        world.wait(Bounds().stability_s)
+        yield world
+        world.close()
+
+    def test_one_asks(self, zone: GatewayWorld) -> None:
+        """Learn of a new engine with no call of the other hosts."""
+        asked_by = [app.discovery._answered_s for app in zone.apps]
+        zone.add_engine('model-1')
+        zone.until_engines(1)
+        after = [app.discovery._answered_s for app in zone.apps]
+        changed = [
+            before != now for before, now in zip(asked_by, after, strict=True)
+        ]
+        assert changed == [True, False, False]
+
+    def test_first_dies(self, zone: GatewayWorld) -> None:
+        """Go on by calls of the next host."""
+        first = zone.apps.pop(0)
+        first.fleet.link.close()
+        first.callers.stop_accepting()
+        zone.add_engine('model-1')
+        zone.until_engines(1)
+        zone.store.remove(f'{words.ENGINE_PREFIX}model-1')
+        zone.until_engines(0)
+
+    def test_first_cut_off(self, zone: GatewayWorld) -> None:
+        """Ask oneself when the first host hears nothing of the store."""
+        zone.apps[0].discovery._asking = True
+        zone.wait(following.SHORTEST_WAIT_S * 2)
+        zone.add_engine('model-1')
+        zone.until(
+            lambda: all(
+                len(tuple(app.context.engines)) == 1 for app in zone.apps[1:]
+            ),
+        )
+
+    def test_configuration(self, zone: GatewayWorld) -> None:
+        """Ask oneself for what is too large to be told."""
+        zone.store.put(words.CONFIGURATION_KEY, build_configuration(2))
+        zone.until(
+            lambda: all(
+                app.context.configuration.version == 2 for app in zone.apps
+            ),
+        )
+
+
+class TestFarNews:
+    """Spend bytes between zones only on what concerns other zones."""
+
+    def test_quiet(
+        self,
+        world: GatewayWorld,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Tell a large fleet's other zones nothing while there is nothing."""
+        monkeypatch.setattr(fleet, 'MAX_FAR_PEERS', 0)
+        monkeypatch.setattr(fleet, 'FAR_NEWS_EVERY', 1)
+        app = world.apps[0]
+        near = {peer.address for peer in app.fleet.members.near()}
+        told = []
+
+        def send(news: News, addresses: Iterable[Address]) -> bool:
+            told.extend(addresses)
+            return True
+
+        monkeypatch.setattr(app.fleet.link, 'send', send)
+        world.ask(CHAT, model=SMALL)
+        world.until(lambda: len(told) > 3)
+        assert set(told) <= near
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -143,6 +143,27 @@
         near.work_ms = 1000.0
         assert placer.choose(request, (near, far), 'small', 0.0).engine is far
 
+    @pytest.mark.parametrize('zone', ['brugge', 'namur'])
+    def test_small_prompts(self, zone: str) -> None:
+        """Keep prompts together within the zone only."""
+        book = EngineBook()
+        engines = list_engines(
+            book,
+            build_entry('near', zone='gent'),
+            *(build_entry(f'far-{number}', zone=zone) for number in range(9)),
+        )
+        placer = build_placer(book)
+        for number in range(30):
+            parts = (PromptPart(f'shared-{number}', 60), PromptPart('own', 40))
+            generation = build_generation(prompt_tokens=100, parts=parts)
+            offer = placer.choose(
+                build_request(generation=generation),
+                engines,
+                'small',
+                0.0,
+            )
+            assert offer.engine is engines[0]
+
     def test_round_trips(self) -> None:
         """Tell zones of the own region from others."""
         position = Position('gent', REGIONS)
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -29,7 +29,7 @@
 ) -> int | None:
     """Return after how many answers a version is found bad, if at all."""
     random = Random(seed)
-    old = {engine: AnswerCounts(100, 1, 15) for engine in ENGINES}
+    old = AnswerCounts(500, 5, 75)
     new: dict[str, AnswerCounts] = {}
     for number in range(answers):
         engine = random.choice(ENGINES)
@@ -72,14 +72,14 @@
 
     def test_one_engine(self) -> None:
         """Blame no version for the trouble of one engine."""
-        old = {engine: AnswerCounts(100, 1, 15) for engine in ENGINES}
+        old = AnswerCounts(500, 5, 75)
         new = {engine: AnswerCounts(20, 0, 3) for engine in ENGINES}
         new['engine-0'] = AnswerCounts(40, 40, 0)
         assert not is_bad(new, old)
 
     def test_everything_fails(self) -> None:
         """Blame no version for what fails on the one before as well."""
-        old = {engine: AnswerCounts(100, 40, 15) for engine in ENGINES}
+        old = AnswerCounts(500, 200, 75)
         new = {engine: AnswerCounts(20, 8, 3) for engine in ENGINES}
         assert not is_bad(new, old)
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -41,6 +41,12 @@
 LARGE = 'large'
 MODELS = 'models'
 SHOP = 'shop'
+SHORT_BOUNDS = Bounds(
+    drain_s=0.5,
+    configuration_s=0.5,
+    grace_s=2.0,
+    stability_s=2.0,
+)
 ZONES = {'gent': 'flanders', 'namur': 'wallonia'}
 
 
@@ -178,10 +184,16 @@
         for number in range(hosts):
             self.start_host(f'host-{number + 1}')
 
-    def start_host(self, host: str) -> GatewayApp:
-        """Start a gateway process."""
+    def start_host(
+        self,
+        host: str,
+        zone: str | None = None,
+        bounds: Bounds = SHORT_BOUNDS,
+    ) -> GatewayApp:
+        """Start a gateway process, by turns in each zone."""
         output = LinesOutput()
-        zone = tuple(ZONES)[len(self.apps) % len(ZONES)]
+        if zone is None:
+            zone = tuple(ZONES)[len(self.apps) % len(ZONES)]
         settings = HostSettings(
             host=host,
             zone=zone,
@@ -194,12 +206,7 @@
             store=self.store.address,
             max_descriptors=1024,
             memory_mb=256,
-            bounds=Bounds(
-                drain_s=0.5,
-                configuration_s=0.5,
-                grace_s=2.0,
-                stability_s=2.0,
-            ),
+            bounds=bounds,
         )
         environment = Environment(stderr=output)
         app = GatewayApp(environment, settings, PLATFORM, output)
@@ -317,5 +324,5 @@
         """Close what is open."""
         for app in self.apps:
             app.callers.stop_accepting()
-            app.fleet.close()
+            app.fleet.link.close()
         self.client.close()
