Read the store's first and large documents stale; tell other zones by one host; soak gateways

Cause: (1) a start reads all pages at the full price, and a changed configuration was asked for by every host of a zone. (3) A seventh of safe calls fails at any engine, so one failure more (0.12 of the rate, 72 ms of the price) sent calls to other regions.

Change: (1) the first read may be stale, a watch from its oldest page catches up; configurations are read stale and asked for only if too old; hosts that are told retry a lost store each 2.5 s. (2) One host a zone tells two hosts of each other zone the evidence of its zone, and they pass it on; sessions too, three times while they settle. (3) Failures count beyond the usual rate and two standard deviations. (4) SIGHUP is ignored until it is heeded.

The soak (bamboodeck-bench gateway-soak) runs gateways as processes, with the stand-ins and relays in its own; signals, links, store, engines and configurations are disturbed in overlapping series, and what callers and engines saw is checked. The stand-ins' documents have one copy now.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= $(VENV)/bin/python
 
-.PHONY: install lint format test demo bench proof clean
+.PHONY: install lint format test demo bench proof soak clean
 
 # An explicit PYTHON (as in CI) needs no environment of its own.
 ifeq ($(PYTHON),$(VENV)/bin/python)
@@ -42,6 +42,11 @@
 proof: $(NEEDS)
 	PYTHON=$(PYTHON) demo/proof.sh $(SEED) $(DURATION_S)
 
+# Gateways as processes of their own, with stand-ins of the users' platform.
+soak: $(NEEDS)
+	$(PYTHON) -m bamboodeck.bench gateway-soak --seed $(SEED) \
+	  --duration-s $(DURATION_S)
+
 # Under a minute; figures depend on the machine, so CI leaves it out.
 bench: $(NEEDS)
 	PYTHON=$(PYTHON) measurements/relay.sh
--- a/bamboodeck/bench/commands.py
+++ b/bamboodeck/bench/commands.py
@@ -5,6 +5,7 @@
 
 from bamboodeck.bench.capacity.commands import capacity
 from bamboodeck.bench.control import ControlReadError, ControlRun
+from bamboodeck.bench.gateway_soak.commands import gateway_soak
 from bamboodeck.bench.load import LoadPlan, LoadResult, LoadRun
 from bamboodeck.bench.option_types import ADDRESS
 from bamboodeck.bench.relay.commands import relay, relay_load
@@ -104,3 +105,4 @@
 bench.add_command(relay)
 bench.add_command(relay_load)
 bench.add_command(soak)
+bench.add_command(gateway_soak)
--- /dev/null
+++ b/bamboodeck/bench/gateway_soak/processes.py
@@ -0,0 +1,70 @@
+"""Start gateway processes, and signal those that were started, by id."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from bamboodeck.bench.gateway_soak.record import Exit
+from bamboodeck.platform import words
+
+KILL_WAIT_S = 10.0
+
+
+class GatewayProcess:
+    """Own one gateway, which is started anew whenever it has ended."""
+
+    def __init__(self, host: str, settings: Path, log: Path) -> None:
+        """Start it."""
+        self.host = host
+        self.log = log
+        self._settings = settings
+        self._signalled = ''
+        self._signalled_s = 0.0
+        self._process = self._start()
+
+    def restart_if_ended(self) -> Exit | None:
+        """Start it again if it has ended; tell how it did."""
+        status = self._process.poll()
+        if status is None:
+            return None
+        ended = Exit(
+            self.host,
+            status,
+            self._signalled,
+            self._signalled_s,
+            time.monotonic(),
+        )
+        self._signalled = ''
+        self._process = self._start()
+        return ended
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        if self._process.poll() is not None:
+            return
+        if number in {signal.SIGTERM, signal.SIGKILL}:
+            self._signalled = number.name
+            self._signalled_s = time.monotonic()
+        self._process.send_signal(number)
+
+    def end(self) -> None:
+        """Kill it and wait."""
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+        self._process.wait(KILL_WAIT_S)
+
+    def _start(self) -> subprocess.Popen:
+        with self.log.open('ab') as output:
+            return subprocess.Popen(
+                [sys.executable, '-m', 'bamboodeck.gateway'],
+                env={
+                    **os.environ,
+                    words.SETTINGS_VARIABLE: str(self._settings),
+                },
+                stdout=output,
+                stderr=output,
+            )
--- a/bamboodeck/fakes/links.py
+++ b/bamboodeck/fakes/links.py
@@ -29,13 +29,16 @@
     UP = 'up'
     CUT = 'cut'
     HELD = 'held'
+    # Bytes to the target pass, its answers don't.
+    ANSWERS_HELD = 'answers-held'
 
 
 @dataclass(frozen=True)
 class SetLink(InstantFault):
     """Put the routes of a name into a state.
 
-    A cut closes connections, a hold keeps them open without a byte.
+    A cut closes connections, a hold keeps them open without a byte, or
+    without a byte of the target's.
     """
 
     name: Text
@@ -55,10 +58,11 @@
     target: Address
 
 
-class _Relay:
+class Relay:
     """Run one route."""
 
     def __init__(self, loop: Loop, route: Route) -> None:
+        """Listen for the route's callers."""
         self.route = route
         self.order = SetLink(route.name)
         self.pipes: set[Pipe] = set()
@@ -66,15 +70,17 @@
         self.listener = Listener(loop.poller, route.listen, self._accept)
 
     def obey(self, order: SetLink) -> None:
+        """Put the route into a state."""
         self.order = order
         for pipe in tuple(self.pipes):
             if order.state is LinkState.CUT:
                 pipe.abort()
                 continue
             pipe.delay_s = order.delay_ms / MS_PER_S
-            pipe.hold(held=order.state is LinkState.HELD)
+            _hold(pipe, order.state)
 
     def stop(self) -> None:
+        """Close every connection and listen no more."""
         self.listener.close()
         for pipe in tuple(self.pipes):
             pipe.abort()
@@ -92,7 +98,14 @@
         )
         if not pipe.closed:
             self.pipes.add(pipe)
-            pipe.hold(held=self.order.state is LinkState.HELD)
+            _hold(pipe, self.order.state)
+
+
+def _hold(pipe: Pipe, state: LinkState) -> None:
+    pipe.hold(
+        held=state is LinkState.HELD,
+        answers_held=state is LinkState.ANSWERS_HELD,
+    )
 
 
 class Links:
@@ -107,7 +120,7 @@
     ) -> None:
         """Listen for each route, and for orders on the control address."""
         self.stand_in = StandIn(loop, control, 'links', LINK_FAULTS, log)
-        self.relays = [_Relay(loop, route) for route in routes]
+        self.relays = [Relay(loop, route) for route in routes]
         self.stand_in.check_order = self._check_order
         self.stand_in.on_order = self._take_order
         self.stand_in.add_stats(self._describe)
--- a/bamboodeck/fakes/pipe.py
+++ b/bamboodeck/fakes/pipe.py
@@ -54,6 +54,7 @@
         """Begin to connect to the target."""
         self.closed = False
         self.held = False
+        self.answers_held = False
         self.moved_bytes = 0
         self.delay_s = delay_s
         self._poller = loop.poller
@@ -81,12 +82,15 @@
             end.sock.close()
         self._on_closed(self)
 
-    def hold(self, *, held: bool) -> None:
-        """Hold all bytes, as a network that drops packets, or go on."""
+    def hold(self, *, held: bool, answers_held: bool = False) -> None:
+        """Hold all bytes, as a network that drops packets, or go on.
+
+        With `answers_held` only those of the target are held.
+        """
         self.held = held
-        if not held:
-            self._flush(self._near)
-            self._flush(self._far)
+        self.answers_held = answers_held
+        self._flush(self._near)
+        self._flush(self._far)
 
     def _watch_end(self, end: _End, other: _End) -> None:
         end.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -146,7 +150,7 @@
     def _flush(self, end: _End) -> None:
         if self.closed:
             return
-        if end.pending and not end.connecting and not self.held:
+        if end.pending and not end.connecting and not self._is_held(end):
             try:
                 sent = end.sock.send(end.pending)
             except BlockingIOError:
@@ -170,6 +174,9 @@
         except OSError:
             self.abort()
 
+    def _is_held(self, end: _End) -> bool:
+        return self.held or self.answers_held and end is self._near
+
     def _is_sending(self) -> bool:
         return any(
             end.pending or end.delayed for end in (self._near, self._far)
@@ -181,6 +188,9 @@
         for end, other in ((self._near, self._far), (self._far, self._near)):
             self._poller.set_interest(
                 end.watch,
-                reading=end.reading and other.has_room and not self.held,
-                writing=end.writing and (end.connecting or not self.held),
+                reading=end.reading
+                and other.has_room
+                and not self._is_held(other),
+                writing=end.writing
+                and (end.connecting or not self._is_held(end)),
             )
--- a/bamboodeck/fakes/platform/engine.py
+++ b/bamboodeck/fakes/platform/engine.py
@@ -42,6 +42,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    # By the clock of the engine's loop.
+    began_s: float = 0.0
     ended: str = ''
 
 
@@ -117,6 +119,7 @@
             parsed.target,
             headers,
             parsed.body,
+            self._loop.scheduler.now_s(),
         )
         self.runs.append(run)
         responder.on_aborted = lambda: _end(run, 'cancelled')
--- a/bamboodeck/fakes/platform/store.py
+++ b/bamboodeck/fakes/platform/store.py
@@ -61,6 +61,7 @@
         self._store = RevisionedStore(MAX_VALUE_BYTES)
         self._waiting: list[_Waiting] = []
         self._compacted = 0
+        self._stale: tuple[list[KeyValue], int] | None = None
         self._server = RelayServer(
             loop,
             address,
@@ -92,6 +93,10 @@
         found = self._store.read(KeyRange(key.encode()))
         return found[0].body if found else None
 
+    def fall_behind(self) -> None:
+        """Answer stale reads with what lies in the store now, from now on."""
+        self._stale = (list(self._store.read(_range_of(''))), self.revision)
+
     def forget_history(self) -> None:
         """Refuse watches from before now, and cut those that wait."""
         self._compacted = self._store.revision
@@ -131,17 +136,19 @@
         responder: RelayExchange,
     ) -> None:
         after = query.get('after', '').encode()
-        found = [
-            entry
-            for entry in self._store.read(_range_of(query.get('prefix', '')))
-            if entry.key > after or not after
-        ]
+        listed = self._store.read(_range_of(query.get('prefix', '')))
+        revision = self._store.revision
+        if self._stale is not None and query.get('serializable') == '1':
+            listed, revision = self._stale
+            prefix = query.get('prefix', '').encode()
+            listed = [each for each in listed if each.key.startswith(prefix)]
+        found = [entry for entry in listed if entry.key > after or not after]
         self._respond(
             responder,
             {
                 'entries': [_describe(entry) for entry in found[:PAGE_ITEMS]],
                 'has_more': len(found) > PAGE_ITEMS,
-                'store_revision': self._store.revision,
+                'store_revision': revision,
             },
         )
 
--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -20,6 +20,7 @@
 )
 from bamboodeck.gateway.following import (
     ChangeLog,
+    Known,
     Schedule,
     ZonePlace,
     find_schedule,
@@ -50,6 +51,8 @@
 # Calls to a store that doesn't answer, the first soon, the others bounded.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
+# ... and of a host that a neighbour tells when the store is back.
+LONGEST_TOLD_RETRY_S = 2.5
 # Engines that live are listed again about two seconds after an outage.
 RELIST_S = 2.5
 
@@ -82,6 +85,7 @@
         self._find_place = find_place
         self._changes = ChangeLog()
         self._hosts: set[str] = set()
+        self._configuration_revision = 0
         # When the store itself has answered last, and whether a call runs.
         self._answered_s = 0.0
         self._asking = False
@@ -92,9 +96,9 @@
         self._missing: dict[str, EngineUnlisted] = {}
 
     def start(self) -> None:
-        """Read all that is listed."""
+        """Read all that is listed, then what has changed since."""
         self._asking = True
-        self._registry.read_all(self._take)
+        self._registry.read_all(self._take_first, stale=True)
 
     def tell(self) -> StoreNews | None:
         """Return the news for the zone, if this host asks for it."""
@@ -105,20 +109,25 @@
         if not (schedule.tells and self.complete and recent):
             return None
         return self._changes.tell(
-            self.revision,
+            Known(
+                self.revision,
+                self._configuration_revision,
+                self._answered_s,
+                self._relist_until_s,
+            ),
             now_s,
-            heard_s=self._answered_s,
-            relist_until_s=self._relist_until_s,
         )
 
     def take_news(self, news: StoreNews) -> None:
         """Follow what a host of the zone has learned from the store."""
         if not self.complete or news.revision < self.revision:
             return
-        missed = news.after_revision > self.revision
-        if missed or news.untold > self.revision:
+        if news.after_revision > self.revision:
             self._ask()
             return
+        if news.configuration_revision > self._configuration_revision:
+            self._read_configuration(news.configuration_revision)
+            return
         now_s = self._context.now_s()
         if self._lost_since_s is not None:
             self._regain(news.revision)
@@ -133,6 +142,31 @@
             now_s - news.age_ms / _MILLISECONDS_PER_S,
         )
 
+    def _take_first(self, reply: RegistryReply) -> None:
+        self._asking = False
+        match reply:
+            case Snapshot(facts=facts, revision=revision):
+                if not self.complete:
+                    self._take_snapshot(facts, revision)
+                self._ask()
+            case RegistryFailed(reason=reason):
+                self._lose(reason)
+
+    def _read_configuration(self, wanted_revision: int) -> None:
+        if self._asking:
+            return
+
+        def take(reply: RegistryReply) -> None:
+            self._asking = False
+            if isinstance(reply, Snapshot):
+                self._apply(reply.facts)
+            if self._configuration_revision < wanted_revision:
+                # What was read is older than what a neighbour knows.
+                self._ask()
+
+        self._asking = True
+        self._registry.read_configuration(take)
+
     def _take(self, reply: RegistryReply) -> None:
         self._asking = False
         match reply:
@@ -149,7 +183,8 @@
                 self._call_in(self._schedule().pause_s if facts else 0)
             case HistoryLost():
                 self._context.metrics.count('history_lost')
-                self.start()
+                self._asking = True
+                self._registry.read_all(self._take)
             case RegistryFailed(reason=reason):
                 self._lose(reason)
 
@@ -197,8 +232,9 @@
 
     def _take_changes(self, facts: Iterable[Fact], revision: int) -> None:
         newer = [fact for fact in facts if fact.revision > self.revision]
-        now_s = self._context.now_s()
-        self._changes.note(self.revision, revision, newer, now_s)
+        if self.complete:
+            now_s = self._context.now_s()
+            self._changes.note(self.revision, newer, now_s)
         self._apply(newer)
         self.revision = revision
 
@@ -216,7 +252,10 @@
             )
         spread = 0.5 + self._context.environment.random.random()
         delay_s = self._retry_s * spread
-        self._retry_s = min(self._retry_s * 2, LONGEST_RETRY_S)
+        longest_s = LONGEST_RETRY_S
+        if self._schedule().patience_s:
+            longest_s = LONGEST_TOLD_RETRY_S
+        self._retry_s = min(self._retry_s * 2, longest_s)
         self._call_in(delay_s)
 
     def _regain(self, revision: int) -> None:
@@ -231,21 +270,21 @@
         self._context.log.emit(StoreRegained(revision, away_s))
 
     def _take_snapshot(self, facts: tuple[Fact, ...], revision: int) -> None:
-        listed = {
+        engine_ids = {
             fact.entry.engine_id
             for fact in facts
             if isinstance(fact, EngineSeen)
         }
-        self._apply(facts)
-        for engine in tuple(self._context.engines):
-            engine_id = engine.entry.engine_id
-            if engine_id not in listed:
-                self._unlist(EngineUnlisted(engine_id, 'not listed', revision))
         hosts = {fact.host for fact in facts if isinstance(fact, PeerListed)}
-        for host in self._hosts - hosts:
-            self._apply_one(PeerUnlisted(host, revision))
-        self._changes.note_all_read(revision, self._context.now_s())
-        self.revision = revision
+        gone: list[Fact] = [
+            EngineUnlisted(engine.entry.engine_id, 'not listed', revision)
+            for engine in self._context.engines
+            if engine.entry.engine_id not in engine_ids and not engine.unlisted
+        ]
+        gone.extend(
+            PeerUnlisted(host, revision) for host in self._hosts - hosts
+        )
+        self._take_changes((*facts, *gone), revision)
         self.complete = True
 
     def _apply(self, facts: Iterable[Fact]) -> None:
@@ -273,6 +312,10 @@
                 self._context.log.warn(DocumentSkipped(key, revision, reason))
 
     def _apply_configuration(self, fact: ConfigurationListed) -> None:
+        self._configuration_revision = max(
+            self._configuration_revision,
+            fact.revision,
+        )
         configuration = fact.configuration
         in_force = self._context.configuration
         if in_force is not None and configuration.version <= in_force.version:
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -183,6 +183,24 @@
             held += part.tokens
         return min(held, generation.prompt_tokens)
 
+    def take_loads(
+        self,
+        teller: str,
+        loads: Mapping[str, PeerLoad],
+    ) -> None:
+        """Take what a host has running by engine, in place of what it had."""
+        for engine_id, engine in self._engines.items():
+            load = loads.get(engine_id)
+            if load is None:
+                engine.peers.pop(teller, None)
+            else:
+                engine.peers[teller] = load
+
+    def forget_teller(self, teller: str) -> None:
+        """Drop what a host has told of loads."""
+        for engine in self._engines.values():
+            engine.peers.pop(teller, None)
+
     def forget_unlisted(self) -> None:
         """Drop engines that are gone and run nothing any more."""
         for engine_id, engine in tuple(self._engines.items()):
--- a/bamboodeck/gateway/evidence.py
+++ b/bamboodeck/gateway/evidence.py
@@ -63,24 +63,35 @@
             },
         )
 
-    def tell(self, services: Collection[ServiceEngines]) -> EvidenceTold:
-        """Return what this host has counted, as the others need it."""
+    def tell(
+        self,
+        services: Collection[ServiceEngines],
+        hosts: Collection[str] = (),
+    ) -> EvidenceTold:
+        """Return what this host and some others have counted."""
         trial = []
         usual = []
         for engines in services:
             trial.extend(
-                TrialCounts(engine_id, *_figures(self._own[engine_id]))
-                for engine_id in engines.trial
-                if engine_id in self._own
+                TrialCounts(engine_id, *_figures(counts))
+                for engine_id, counts in self.count_trial(
+                    engines,
+                    hosts,
+                ).items()
             )
-            counts = self._sum_own(engines.usual)
+            counts = self.count_usual(engines, hosts)
             if counts.answers:
                 usual.append(UsualCounts(engines.service, *_figures(counts)))
         return EvidenceTold(tuple(trial), tuple(usual))
 
-    def count_trial(self, engines: ServiceEngines) -> dict[str, AnswerCounts]:
-        """Return the counts of all hosts by engine on trial."""
-        sources = (self._own, *(each.trial for each in self._others.values()))
+    def count_trial(
+        self,
+        engines: ServiceEngines,
+        hosts: Collection[str] | None = None,
+    ) -> dict[str, AnswerCounts]:
+        """Return the counts of all or some other hosts by engine on trial."""
+        others = self._list_others(hosts)
+        sources = (self._own, *(each.trial for each in others))
         summed = {}
         for engine_id in engines.trial:
             found = [
@@ -90,15 +101,26 @@
                 summed[engine_id] = sum_counts(found)
         return summed
 
-    def count_usual(self, engines: ServiceEngines) -> AnswerCounts:
-        """Return the counts of all hosts for the other versions."""
+    def count_usual(
+        self,
+        engines: ServiceEngines,
+        hosts: Collection[str] | None = None,
+    ) -> AnswerCounts:
+        """Return the counts of all or some other hosts for other versions."""
         others = [
             each.usual[engines.service]
-            for each in self._others.values()
+            for each in self._list_others(hosts)
             if engines.service in each.usual
         ]
         return sum_counts([self._sum_own(engines.usual), *others])
 
+    def _list_others(self, hosts: Collection[str] | None) -> list[OthersCounts]:
+        return [
+            counts
+            for host, counts in self._others.items()
+            if hosts is None or host in hosts
+        ]
+
     def _sum_own(self, engine_ids: Collection[str]) -> AnswerCounts:
         return sum_counts(
             self._own[engine_id]
--- a/bamboodeck/gateway/following.py
+++ b/bamboodeck/gateway/following.py
@@ -39,6 +39,9 @@
 SHORTEST_WAIT_S = 0.5
 # Changes are told this long, so that lost news are made up for.
 TOLD_FOR_S = 1.0
+# More changes at once would fill the slowest links for too long: some 250 B
+# each, to a dozen hosts, four times, over 5 Mbit/s. Hosts read them instead.
+MAX_TOLD_FACTS = 32
 
 
 class ZonePlace(msgspec.Struct, frozen=True):
@@ -83,10 +86,20 @@
     )
 
 
+class Known(msgspec.Struct, frozen=True):
+    """Tell up to which revision a host knows what the store lists."""
+
+    revision: int
+    configuration_revision: int
+    # When the store has answered last.
+    answered_s: float
+    # Until when engines that are missing may be listed again.
+    relist_until_s: float
+
+
 class _Batch(msgspec.Struct, frozen=True):
     noted_s: float
     after_revision: int
-    untold: int
     facts: tuple[Fact, ...]
 
 
@@ -100,48 +113,37 @@
     def note(
         self,
         after_revision: int,
-        revision: int,
         facts: Iterable[Fact],
         now_s: float,
     ) -> None:
-        """Keep the changes after one revision and up to another."""
-        told = []
-        untold = 0
-        for fact in facts:
-            match fact:
-                case ConfigurationListed():
-                    untold = revision
-                case Unreadable():
-                    # What follows from it is a fact of its own.
-                    continue
-                case _:
-                    told.append(fact)
-        self._batches.append(
-            _Batch(now_s, after_revision, untold, tuple(told)),
+        """Keep the changes after a revision; each call follows the last."""
+        told = tuple(
+            fact
+            for fact in facts
+            # What follows from an unreadable document is a fact of its own.
+            if not isinstance(fact, ConfigurationListed | Unreadable)
         )
-
-    def note_all_read(self, revision: int, now_s: float) -> None:
-        """Forget the changes, as everything was read anew."""
-        self._batches.clear()
-        self._batches.append(_Batch(now_s, revision, revision, ()))
+        self._batches.append(_Batch(now_s, after_revision, told))
 
     def tell(
         self,
-        revision: int,
+        known: Known,
         now_s: float,
-        *,
-        heard_s: float,
-        relist_until_s: float,
     ) -> StoreNews:
-        """Return the news of what is known at a revision."""
+        """Return the news of what is known."""
         while self._batches and self._batches[0].noted_s < now_s - TOLD_FOR_S:
             self._batches.popleft()
-        batches = tuple(self._batches)
+        after_revision = known.revision
+        facts = tuple(fact for each in self._batches for fact in each.facts)
+        if len(facts) > MAX_TOLD_FACTS:
+            facts = ()
+        elif self._batches:
+            after_revision = self._batches[0].after_revision
         return StoreNews(
-            after_revision=batches[0].after_revision if batches else revision,
-            revision=revision,
-            untold=max((each.untold for each in batches), default=0),
-            age_ms=int((now_s - heard_s) * 1000),
-            relist_ms=max(int((relist_until_s - now_s) * 1000), 0),
-            facts=tuple(fact for each in batches for fact in each.facts),
+            after_revision=after_revision,
+            revision=known.revision,
+            configuration_revision=known.configuration_revision,
+            age_ms=int((now_s - known.answered_s) * 1000),
+            relist_ms=max(int((known.relist_until_s - now_s) * 1000), 0),
+            facts=facts,
         )
--- a/bamboodeck/gateway/news.py
+++ b/bamboodeck/gateway/news.py
@@ -64,9 +64,10 @@
     crashes: tuple[CrashTold, ...] = ()
 
 
-class FarNews(msgspec.Struct, frozen=True, array_like=True, tag='far'):
-    """Tell hosts of other zones what concerns them too."""
+class ZoneNews(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
+    """Tell other zones what concerns them of all hosts of a zone."""
 
+    zone: str
     evidence: EvidenceTold = EvidenceTold()
     crashes: tuple[CrashTold, ...] = ()
 
@@ -81,13 +82,13 @@
     """Tell the hosts of the zone what the store lists.
 
     The facts are all changes after one revision and up to another, but for
-    those that are too large to be told: up to the revision `untold` a host
-    has to ask the store itself.
+    the configuration, which is too large to be told: a host that hasn't the
+    one of this revision has to read it.
     """
 
     after_revision: int
     revision: int
-    untold: int
+    configuration_revision: int
     # How long ago the store has confirmed that this is all.
     age_ms: int
     # How long engines that are missing after an outage may still return.
@@ -95,7 +96,7 @@
     facts: tuple[TellableFact, ...] = ()
 
 
-News = NearNews | FarNews | SessionNews | StoreNews
+News = NearNews | ZoneNews | SessionNews | StoreNews
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/bamboodeck/gateway/news_link.py
+++ b/bamboodeck/gateway/news_link.py
@@ -58,20 +58,19 @@
         """Hand all news of a kind to a function."""
         self._handlers[kind] = handler
 
-    def send(self, news: News, addresses: Iterable[Address]) -> bool:
-        """Send news; tell whether it was small enough."""
+    def send(self, news: News, addresses: Iterable[Address]) -> None:
+        """Send news; what is too large for a datagram is only counted."""
         self._sent += 1
         datagram = self._encoder.encode(
             Envelope(self._host, self._started_unix_ms, self._sent, news),
         )
         if len(datagram) > MAX_DATAGRAM_BYTES:
             self._metrics.count('news_too_large')
-            return False
+            return
         for address in addresses:
             with contextlib.suppress(OSError):
                 # Lost news is made up for by the next.
                 self._sock.sendto(datagram, (address.host, address.port))
-        return True
 
     def forget(self, host: str) -> None:
         """Forget how new the news of a host was."""
--- a/bamboodeck/gateway/placement.py
+++ b/bamboodeck/gateway/placement.py
@@ -7,7 +7,7 @@
 failures.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import msgspec
 import xxhash
@@ -32,6 +32,9 @@
 TOKEN_BYTES = 12
 # A failed attempt costs about this much, besides its engine's time.
 FAILURE_MS = 600.0
+# Where a seventh of all requests fails at any engine, the rate of the last
+# eight differs by this between sound engines: two standard deviations.
+USUAL_EXCESS = 0.18
 # Of equally good engines of a zone its hosts prefer the same one for the same
 # prompt, as another host may have had it read there.
 AFFINITY_MS = 60.0
@@ -90,22 +93,21 @@
     ) -> Offer | None:
         """Return the cheapest engine for a model, or none."""
         best: Offer | None = None
+        candidates = tuple(candidates)
+        usual_rate = find_usual_rate(candidates)
         affinity = find_affinity(request.generation)
         for engine in candidates:
             offer = self._price(request, engine, model, now_s)
+            excess = engine.failure_rate - usual_rate - USUAL_EXCESS
+            cost_ms = offer.cost_ms + FAILURE_MS * max(excess, 0.0)
             if affinity:
                 # Keeping prompts together isn't worth bytes between zones.
                 rank = 1.0
                 if engine.entry.zone == self._position.zone:
                     rank = rank_engine(affinity, engine.entry.engine_id)
-                offer = Offer(
-                    engine,
-                    offer.cost_ms + AFFINITY_MS * rank,
-                    offer.first_token_ms,
-                    offer.work_ms,
-                )
-            if best is None or offer.cost_ms < best.cost_ms:
-                best = offer
+                cost_ms += AFFINITY_MS * rank
+            if best is None or cost_ms < best.cost_ms:
+                best = msgspec.structs.replace(offer, cost_ms=cost_ms)
         return best
 
     def _price(
@@ -128,7 +130,7 @@
             wait_ms += STEP_MS_PER_REQUEST * running
         distance_ms = self._position.distance_ms(engine.entry.zone)
         first_token_ms = wait_ms + distance_ms
-        cost_ms = first_token_ms + FAILURE_MS * engine.failure_rate
+        cost_ms = first_token_ms
         if distance_ms:
             cost_ms += REMOTE_MS_PER_KB * _count_bytes(request) / 1000
         return Offer(engine, cost_ms, first_token_ms, work_ms)
@@ -150,6 +152,14 @@
         return self._pace.reading_ms(model, unread)
 
 
+def find_usual_rate(engines: Sequence[Engine]) -> float:
+    """Return the failure rate of the middle engine of a service."""
+    if not engines:
+        return 0.0
+    rates = sorted(engine.failure_rate for engine in engines)
+    return rates[(len(rates) - 1) // 2]
+
+
 def _count_bytes(request: CallerRequest) -> int:
     count = HEAD_BYTES + len(request.body)
     if request.generation is not None:
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -194,8 +194,19 @@
 class Registry(Protocol):
     """Read and write what the fleet shares, without waiting."""
 
-    def read_all(self, on_reply: Callable[[RegistryReply], None]) -> None:
-        """Read all that is listed."""
+    def read_all(
+        self,
+        on_reply: Callable[[RegistryReply], None],
+        *,
+        stale: bool = False,
+    ) -> None:
+        """Read all that is listed; `stale` may be seconds old, and is cheap."""
+
+    def read_configuration(
+        self,
+        on_reply: Callable[[RegistryReply], None],
+    ) -> None:
+        """Read the configuration alone, which may be seconds old."""
 
     def wait_for_changes(
         self,
--- a/bamboodeck/gateway/rollout_guide.py
+++ b/bamboodeck/gateway/rollout_guide.py
@@ -5,7 +5,7 @@
 each host waits for its turn before it writes, so that one write is the rule.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 
@@ -50,12 +50,21 @@
 # Before the first sessions try a version, hosts tell each other for this long
 # which ones go on; longer than the news of an order may be late.
 SETTLE_S = 2.5
+# Each session is told so often while sessions settle, as news may be lost.
+SESSION_NEWS = 3
 # Until a write without an answer is tried again.
 WRITE_AGAIN_S = 0.6
 
 _TERMINAL = frozenset((RolloutState.COMPLETED, RolloutState.ROLLED_BACK))
 
 
+class Staying(msgspec.Struct):
+    """Hold a session that has to stay, and how often it was told."""
+
+    seen: SessionSeen
+    told: int = 0
+
+
 class Rollout(msgspec.Struct):
     """Hold the roll-out of one service as this host knows it."""
 
@@ -70,7 +79,7 @@
     bad: bool = False
     # Sessions of the trial share that ran on another version since the last
     # news; each stays there while it goes on.
-    staying: dict[str, SessionSeen] = msgspec.field(default_factory=dict)
+    staying: dict[str, Staying] = msgspec.field(default_factory=dict)
     trial_begins_s: float = 0.0
     due_since_s: float | None = None
     due: tuple[int, RolloutState | None] | None = None
@@ -218,17 +227,20 @@
         if seen.version == target:
             return
         if falls_in_share(seen.session, target, share_at(0)):
-            rollout.staying[seen.session] = seen
+            rollout.staying[seen.session] = Staying(seen)
 
     def take_staying(self) -> tuple[SessionSeen, ...]:
         """Return the sessions of which other hosts have to hear now."""
         now_s = self._context.now_s()
         told: list[SessionSeen] = []
         for rollout in self._rollouts.values():
-            told.extend(rollout.staying.values())
-            # Until the trial begins, they are told with every news.
-            if now_s >= rollout.trial_begins_s:
-                rollout.staying.clear()
+            for session, staying in tuple(rollout.staying.items()):
+                told.append(staying.seen)
+                staying.told += 1
+                # Before the trial begins there is time to make up for losses.
+                settling = now_s < rollout.trial_begins_s
+                if not settling or staying.told >= SESSION_NEWS:
+                    rollout.staying.pop(session)
         return tuple(told)
 
     def note_answer(
@@ -254,14 +266,18 @@
         if failed or slow:
             self._judge(rollout)
 
-    def tell_evidence(self) -> EvidenceTold:
-        """Return what other hosts have to hear of the answers here."""
+    def tell_evidence(self, hosts: Collection[str] = ()) -> EvidenceTold:
+        """Return what others have to hear of the answers here.
+
+        The answers at some other hosts are counted with this one's.
+        """
         return self.evidence.tell(
             [
                 self._list_engines(rollout)
                 for rollout in self._rollouts.values()
                 if not rollout.ended
             ],
+            hosts,
         )
 
     def merge(self, host: str, told: EvidenceTold) -> None:
--- a/bamboodeck/platform/registry.py
+++ b/bamboodeck/platform/registry.py
@@ -82,11 +82,28 @@
         self._store = store
         self._lease: LeaseGranted | None = None
 
-    def read_all(self, on_reply: Callable[[RegistryReply], None]) -> None:
-        """Read all that is listed."""
+    def read_all(
+        self,
+        on_reply: Callable[[RegistryReply], None],
+        *,
+        stale: bool = False,
+    ) -> None:
+        """Read all that is listed; `stale` may be seconds old, and is cheap."""
         self._store.read_prefix(
             _EVERYTHING,
             lambda reply: on_reply(_translate(reply)),
+            stale=stale,
+        )
+
+    def read_configuration(
+        self,
+        on_reply: Callable[[RegistryReply], None],
+    ) -> None:
+        """Read the configuration alone, which may be seconds old."""
+        self._store.read_prefix(
+            words.CONFIGURATION_KEY,
+            lambda reply: on_reply(_translate(reply)),
+            stale=True,
         )
 
     def wait_for_changes(
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import quote
@@ -171,7 +172,7 @@
     stale: bool
     on_reply: OnReply
     items: list[Item] = msgspec.field(default_factory=list)
-    revision: int | None = None
+    revision: float = math.inf
 
 
 class PlatformStore:
@@ -303,14 +304,14 @@
             for change in _read_items(page.entries)
             if isinstance(change, Item)
         )
-        # Changes between two pages are seen by a watch from the first one.
-        if read.revision is None:
-            read.revision = page.store_revision
+        # Changes between two pages are seen by a watch from the oldest one;
+        # a page that may be stale may be older than the one before it.
+        read.revision = min(read.revision, page.store_revision)
         if page.has_more and page.entries:
             self._read_page(read, page.entries[-1].key)
             return
         self._hand_over(
-            ItemsRead(tuple(read.items), read.revision),
+            ItemsRead(tuple(read.items), int(read.revision)),
             read.on_reply,
         )
 
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from bamboodeck.fakes.platform.store import StoreMood
-from bamboodeck.gateway import discovery, following
-from bamboodeck.platform import store, words
-from tests.gateway.world import (
+from bamboodeck.fakes.platform.documents import (
     CHAT,
     PAY,
     SHOP,
     SMALL,
-    GatewayWorld,
     build_configuration,
 )
+from bamboodeck.fakes.platform.store import StoreMood
+from bamboodeck.gateway import discovery, following
+from bamboodeck.platform import store, words
+from tests.gateway.world import GatewayWorld
 
 
 @pytest.fixture
@@ -108,6 +108,20 @@
         assert not app.is_ready()
         assert not world.engines['shop-1'].runs
 
+    def test_stale_start(self, world: GatewayWorld) -> None:
+        """Catch up with the store after a first read that was out of date."""
+        world.store.fall_behind()
+        world.store.put(words.CONFIGURATION_KEY, build_configuration(2))
+        world.store.remove(f'{words.ENGINE_PREFIX}shop-1')
+        app = world.start_host('host-2')
+        world.until(
+            lambda: (
+                app.context.configuration is not None
+                and app.context.configuration.version == 2
+            ),
+        )
+        world.until_engines(1)
+
     def test_first_callers(self, world: GatewayWorld) -> None:
         """Answer callers who came before the configuration."""
         world.start_host('host-2')
--- a/tests/gateway/test_early.py
+++ b/tests/gateway/test_early.py
@@ -1,8 +1,10 @@
 """Test that a process listens before the rest of it is loaded."""
 
 import runpy
+import signal
 import socket
 import sys
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from types import ModuleType
 
@@ -60,8 +62,34 @@
                 connected.append(pair)
             listeners[pair].close()
 
-        program = ModuleType('bamboodeck.gateway.program')
-        program.main = main
-        monkeypatch.setitem(sys.modules, program.__name__, program)
-        runpy.run_module('bamboodeck.gateway', run_name='__main__')
+        run_program(main, monkeypatch)
         assert connected
+
+    @pytest.fixture(autouse=True)
+    def default_signals(self) -> Iterator[None]:
+        """Let SIGHUP end the process unless something heeds it."""
+        before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        yield
+        signal.signal(signal.SIGHUP, before)
+
+    def test_early_reload(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Live through a SIGHUP that comes while the program is loaded."""
+        lived = []
+
+        def main(listeners: Listeners) -> None:
+            signal.raise_signal(signal.SIGHUP)
+            lived.append(listeners)
+
+        run_program(main, monkeypatch)
+        assert lived
+
+
+def run_program(
+    main: Callable[[Listeners], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Run the gateway's module with another function in place of its own."""
+    program = ModuleType('bamboodeck.gateway.program')
+    program.main = main
+    monkeypatch.setitem(sys.modules, program.__name__, program)
+    runpy.run_module('bamboodeck.gateway', run_name='__main__')
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,22 +5,23 @@
 import msgspec
 import pytest
 
+from bamboodeck.fakes.platform.documents import (
+    CHAT,
+    MODELS,
+    SMALL,
+    build_configuration,
+)
 from bamboodeck.fakes.platform.engine import EngineFault
 from bamboodeck.gateway import fleet, following
 from bamboodeck.gateway.model import Bounds, RolloutState
 from bamboodeck.gateway.news import News
+from bamboodeck.gateway.ports import EngineUnlisted
 from bamboodeck.gateway.rollout_guide import SETTLE_S
 from bamboodeck.gateway.rollouts import falls_in_share, share_at
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.platform import words
 from bamboodeck.platform.documents import decode_status
-from tests.gateway.world import (
-    CHAT,
-    MODELS,
-    SMALL,
-    GatewayWorld,
-    build_configuration,
-)
+from tests.gateway.world import GatewayWorld
 
 HOSTS = 3
 STATUS_KEY = f'{words.STATUS_PREFIX}{MODELS}'
@@ -70,6 +71,15 @@
 class TestRollouts:
     """Move a version in together, or stop it together."""
 
+    @pytest.fixture(autouse=True, params=[fleet.MAX_FAR_PEERS, 0])
+    def size(
+        self,
+        request: pytest.FixtureRequest,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Tell other zones directly, and by one host as large fleets do."""
+        monkeypatch.setattr(fleet, 'MAX_FAR_PEERS', request.param)
+
     def order(self, world: GatewayWorld, duration_s: float) -> None:
         """Order a roll-out, with two engines of the new version."""
         world.add_engine('model-3', version='v2')
@@ -225,8 +235,11 @@
             ),
         )
 
-    def test_configuration(self, zone: GatewayWorld) -> None:
-        """Ask oneself for what is too large to be told."""
+    @pytest.mark.parametrize('behind', [False, True])
+    def test_configuration(self, zone: GatewayWorld, behind: bool) -> None:
+        """Read oneself what is too large to be told, also if that is stale."""
+        if behind:
+            zone.store.fall_behind()
         zone.store.put(words.CONFIGURATION_KEY, build_configuration(2))
         zone.until(
             lambda: all(
@@ -235,6 +248,62 @@
         )
 
 
+class TestChangeLog:
+    """Tell what has changed, also when a piece of news is lost."""
+
+    def known(self, revision: int) -> following.Known:
+        """Return what a host knows at a revision."""
+        return following.Known(revision, 1, 0.0, 0.0)
+
+    def unlist(self, *revisions: int) -> tuple[EngineUnlisted, ...]:
+        """Return a fact for each revision."""
+        return tuple(EngineUnlisted('a', 'gone', each) for each in revisions)
+
+    def test_together(self) -> None:
+        """Tell the changes of the last second as one."""
+        log = following.ChangeLog()
+        log.note(5, self.unlist(6, 7), 0.0)
+        log.note(7, self.unlist(9), 0.5)
+        news = log.tell(self.known(9), 0.6)
+        assert (news.after_revision, news.revision) == (5, 9)
+        assert [fact.revision for fact in news.facts] == [6, 7, 9]
+        later = log.tell(self.known(9), 1.2)
+        assert (later.after_revision, len(later.facts)) == (7, 1)
+
+    def test_too_much(self) -> None:
+        """Leave what would fill slow links to the others' own reads."""
+        log = following.ChangeLog()
+        count = following.MAX_TOLD_FACTS + 1
+        log.note(0, self.unlist(*range(1, count + 1)), 0.0)
+        news = log.tell(self.known(count), 0.1)
+        assert news.after_revision == count
+        assert not news.facts
+
+
+class TestSchedule:
+    """Ask the store within its bounds, whichever host is first."""
+
+    @pytest.mark.parametrize('hosts', [1, 2, 6, 14])
+    @pytest.mark.parametrize('place', [0, 1, 2, 5])
+    def test_bounds(self, place: int, hosts: int) -> None:
+        """Know of a change in time though every other host is silent."""
+        bounds = Bounds()
+        schedule = following.find_schedule(
+            following.ZonePlace(place, hosts),
+            bounds,
+        )
+        bound_s = min(bounds.drain_s, bounds.configuration_s)
+        assert schedule.patience_s < 0.7 * bound_s
+        assert schedule.pause_s < 0.5 * bound_s
+
+    def test_first_is_enough(self) -> None:
+        """Let no second host ask while the first one's news come."""
+        first = following.find_schedule(following.ZonePlace(0, 6), Bounds())
+        second = following.find_schedule(following.ZonePlace(1, 6), Bounds())
+        assert first.wait_s + fleet.NEWS_PERIOD_S < second.patience_s
+        assert first.pause_s + fleet.NEWS_PERIOD_S < second.patience_s
+
+
 class TestFarNews:
     """Spend bytes between zones only on what concerns other zones."""
 
@@ -245,16 +314,14 @@
     ) -> None:
         """Tell a large fleet's other zones nothing while there is nothing."""
         monkeypatch.setattr(fleet, 'MAX_FAR_PEERS', 0)
-        monkeypatch.setattr(fleet, 'FAR_NEWS_EVERY', 1)
         app = world.apps[0]
         near = {peer.address for peer in app.fleet.members.near()}
         told = []
 
-        def send(news: News, addresses: Iterable[Address]) -> bool:
-            told.extend(addresses)
-            return True
+        def send(news: News, addresses: Iterable[Address]) -> None:
+            told.extend((type(news), address) for address in addresses)
 
         monkeypatch.setattr(app.fleet.link, 'send', send)
         world.ask(CHAT, model=SMALL)
-        world.until(lambda: len(told) > 3)
-        assert set(told) <= near
+        world.until(lambda: len(told) > 8)
+        assert {address for _, address in told} <= near
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -4,10 +4,7 @@
 
 import pytest
 
-from bamboodeck.fakes.platform.engine import EngineFault
-from bamboodeck.http.messages import Header
-from bamboodeck.platform import words
-from tests.gateway.world import (
+from bamboodeck.fakes.platform.documents import (
     CHAT,
     CUSTOMER,
     KEY,
@@ -17,9 +14,12 @@
     PAY,
     SHOP,
     SMALL,
-    GatewayWorld,
     build_configuration,
 )
+from bamboodeck.fakes.platform.engine import EngineFault
+from bamboodeck.http.messages import Header
+from bamboodeck.platform import words
+from tests.gateway.world import GatewayWorld
 
 MODEL_IDS = ('model-1', 'model-2')
 EVENTS = b''.join(
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -56,6 +56,34 @@
         )
         assert offer.engine is engines[0]
 
+    def test_usual_failures(self) -> None:
+        """Stay near though requests fail now and then on every engine."""
+        book = EngineBook()
+        near, *far = list_engines(
+            book,
+            build_entry('near', zone='gent'),
+            *(
+                build_entry(f'far-{number}', zone='namur')
+                for number in range(5)
+            ),
+        )
+        random = Random(3)
+        chosen = []
+        for _ in range(400):
+            for engine in (near, *far):
+                if random.random() < 0.14:
+                    engine.note_failure()
+                else:
+                    engine.note_success(0.0)
+            offer = build_placer(book).choose(
+                build_request(generation=None),
+                (near, *far),
+                None,
+                0.0,
+            )
+            chosen.append(offer.engine is near)
+        assert sum(chosen) >= 0.95 * len(chosen)
+
     def test_burst(self) -> None:
         """Spread a burst of long prompts over the engines."""
         book = EngineBook()
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -5,9 +5,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from bamboodeck.environment import Environment
+from bamboodeck.fakes.platform.documents import (
+    HOST,
+    KEY,
+    MODELS,
+    build_configuration,
+)
 from bamboodeck.fakes.platform.engine import (
     EngineBehaviour,
     PlatformEngineFake,
@@ -31,16 +35,6 @@
 
 # How long a condition may take on a busy machine.
 PATIENCE_S = 60.0
-HOST = 'desk.example'
-KEY = 'key-1'
-CUSTOMER = 'school'
-CHAT = '/chat/'
-PAY = '/pay/'
-LOOK = '/look/'
-SMALL = 'small'
-LARGE = 'large'
-MODELS = 'models'
-SHOP = 'shop'
 SHORT_BOUNDS = Bounds(
     drain_s=0.5,
     configuration_s=0.5,
@@ -99,75 +93,6 @@
         return 0
 
 
-def build_configuration(version: int = 1, **changes: object) -> bytes:
-    """Write a configuration with a route of each kind."""
-    shared = {'host': HOST, 'public': False, 'priority': 1}
-    routes = [
-        {
-            **shared,
-            'name': 'chat',
-            'prefix': CHAT,
-            'kind': 'streaming',
-            'timeout_ms': 8000,
-            'target_latency_ms': 2000,
-            'gap_aim_ms': 800,
-            'max_attempts': 3,
-            'stream_resume': True,
-            'sticky': True,
-            'sizes': [SMALL, LARGE],
-            'service': MODELS,
-        },
-        {
-            **shared,
-            'name': 'pay',
-            'prefix': PAY,
-            'kind': 'unsafe',
-            'timeout_ms': 1200,
-            'target_latency_ms': 250,
-            'max_attempts': 1,
-            'service': SHOP,
-        },
-        {
-            **shared,
-            'name': 'look',
-            'prefix': LOOK,
-            'kind': 'safe',
-            'timeout_ms': 1200,
-            'target_latency_ms': 250,
-            'max_attempts': 2,
-            'backends': [{'service': SHOP, 'weight': 1}],
-        },
-    ]
-    document = {
-        'version': version,
-        'routes': routes,
-        'services': [
-            {
-                'name': MODELS,
-                'max_connections': 64,
-                'engine': {
-                    'slots': 8,
-                    'kv_capacity_tokens': 100_000,
-                    'models': [
-                        {'name': SMALL, 'cost': 0.02},
-                        {'name': LARGE, 'cost': 0.3},
-                    ],
-                },
-            },
-            {'name': SHOP, 'max_connections': 64},
-        ],
-        'limits': {
-            'max_header_bytes': 16_384,
-            'max_body_bytes': 1_000_000,
-            'header_timeout_ms': 3000,
-            'idle_timeout_ms': 15_000,
-        },
-        'tenants': [{'name': CUSTOMER, 'api_keys': [KEY], 'priority': 1}],
-        **changes,
-    }
-    return msgspec.json.encode(document)
-
-
 class GatewayWorld:
     """Own a store, engines, gateways and a caller."""
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,6 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bamboodeck.fakes.platform.documents import (
+    CUSTOMER,
+    KEY,
+    build_configuration,
+)
 from bamboodeck.gateway.model import (
     EngineState,
     RolloutState,
@@ -20,7 +25,6 @@
     decode_status,
     encode_status,
 )
-from tests.gateway.world import CUSTOMER, KEY, build_configuration
 
 ENGINE = {
     'service': 'models',
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -11,48 +11,36 @@
 import pytest
 
 from bamboodeck.exit_status import ExitStatus
-from bamboodeck.http.client import HttpClient
-from bamboodeck.http.messages import (
-    Address,
-    Header,
-    HttpCall,
-    HttpReply,
-)
-from bamboodeck.platform import words
-from tests.gateway.test_path import EVENTS
-from tests.gateway.world import (
+from bamboodeck.fakes.platform.documents import (
     CHAT,
     HOST,
     KEY,
     LOOK,
     MODELS,
-    PATIENCE_S,
     PAY,
     SHOP,
     SMALL,
-    Asked,
+    GatewayAddresses,
     build_configuration,
+    build_settings,
+)
+from bamboodeck.http.client import HttpClient
+from bamboodeck.http.messages import (
+    Address,
+    Header,
+    HttpCall,
+    HttpReply,
 )
+from bamboodeck.platform import words
+from tests.gateway.test_path import EVENTS
+from tests.gateway.world import PATIENCE_S, Asked
 from tests.http.looping import build_loop
 from tests.ports import find_free_address
 
 ROOT = Path(__file__).parent.parent.parent
 ZONE = 'gent'
 
-SETTINGS = """node_name={name}
-zone={zone}
-region=flanders
-zones.{zone}=flanders
-ip={callers.host}
-listen.front={callers}
-listen.ready={ready}
-internal_ports={first_port},{last_port}
-limits.max_fds=1024
-limits.memory_mb=300
-bounds.grace_s=4
-bounds.stability_window_ms=2000
-platform.address={store}
-"""
+BOUNDS = {'grace_s': 4, 'stability_window_ms': 2000}
 
 
 class Processes:
@@ -146,15 +134,20 @@
         """Start a gateway with settings as the platform writes them."""
         first, last = sorted(self.peers[name], key=lambda each: each.port)
         settings = self.folder / f'{name}.conf'
+        addresses = GatewayAddresses(
+            self.callers[name],
+            self.ready[name],
+            first.port,
+            last.port,
+        )
         settings.write_text(
-            SETTINGS.format(
-                name=name,
-                zone=ZONE,
-                callers=self.callers[name],
-                ready=self.ready[name],
-                first_port=first.port,
-                last_port=last.port,
-                store=self.store,
+            build_settings(
+                name,
+                ZONE,
+                {ZONE: 'flanders'},
+                addresses,
+                self.store,
+                BOUNDS,
             ),
         )
         self.processes.start(
