--- a/bamboodeck/bench/gateway_soak/faults.py
+++ b/bamboodeck/bench/gateway_soak/faults.py
@@ -113,8 +113,10 @@
     def reload_host(self) -> None:
         """Have a process read its settings again, which disturbs nothing."""
         host = self._any_host()
-        self._system.hosts[host].process.send(signal.SIGHUP)
-        self._note('reload', host)
+        process = self._system.hosts[host].process
+        if process.outlives(signal.SIGHUP):
+            process.send(signal.SIGHUP)
+            self._note('reload', host)
 
     def pause_host(self) -> None:
         """Freeze a process for a while."""
--- a/bamboodeck/bench/gateway_soak/processes.py
+++ b/bamboodeck/bench/gateway_soak/processes.py
@@ -50,6 +50,21 @@
             self._signalled_s = time.monotonic()
         self._process.send_signal(number)
 
+    def outlives(self, number: signal.Signals) -> bool:
+        """Tell whether the program has taken a signal over from the kernel.
+
+        Before its first line, while the interpreter starts, it can't.
+        """
+        status = Path(f'/proc/{self._process.pid}/status')
+        try:
+            lines = status.read_text().splitlines()
+        except OSError:
+            # It has ended just now.
+            return False
+        fields = dict(line.partition(':\t')[::2] for line in lines)
+        taken = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
+        return bool(taken >> (number - 1) & 1)
+
     def end(self) -> None:
         """Kill it and wait."""
         if self._process.poll() is None:
--- a/bamboodeck/bench/gateway_soak/record.py
+++ b/bamboodeck/bench/gateway_soak/record.py
@@ -123,6 +123,12 @@
     unsettled: list[str] = msgspec.field(default_factory=list)
     trace: list[str] = msgspec.field(default_factory=list)
 
+    def note_stall(self, from_s: float, until_s: float) -> None:
+        """Learn that the soak's own loop has stood still."""
+        cause = 'soak-stalled'
+        self.disturbances.append(Disturbance('', cause, from_s, until_s))
+        self.faults[cause] = self.faults.get(cause, 0) + 1
+
     def is_calm(
         self,
         host: str,
--- a/bamboodeck/bench/gateway_soak/run.py
+++ b/bamboodeck/bench/gateway_soak/run.py
@@ -29,6 +29,9 @@
 from bamboodeck.platform import words
 
 WATCH_PERIOD_S = 0.2
+# Callers and engines run on the soak's own loop: while it stands still for
+# longer than this, as on a busy machine, what they see is late.
+LONGEST_TURN_S = 0.3
 # The balancer asks once a second.
 READY_PERIOD_S = 0.5
 # Engines' requests that hang end with the callers' deadlines.
@@ -73,6 +76,7 @@
         self._client = HttpClient(loop)
         self._finals: list[Sent] = []
         self._started = False
+        self._watched_s = 0.0
         # A host that is starting is calm only once it was ready.
         for host in self._system.hosts:
             self._faults.note_start(host)
@@ -88,6 +92,11 @@
         return self._report()
 
     def _watch(self) -> None:
+        now_s = self._loop.scheduler.now_s()
+        watched_s = self._watched_s
+        self._watched_s = now_s
+        if watched_s and now_s - watched_s > WATCH_PERIOD_S + LONGEST_TURN_S:
+            self.record.note_stall(watched_s, now_s)
         for host in self._system.hosts.values():
             ended = host.process.restart_if_ended()
             if ended is not None:
--- a/bamboodeck/bench/gateway_soak/system.py
+++ b/bamboodeck/bench/gateway_soak/system.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 from pathlib import Path
+from random import SystemRandom
 from types import MappingProxyType
 
 from bamboodeck.bench.gateway_soak.processes import GatewayProcess
@@ -38,6 +39,8 @@
 ENGINES_PER_ZONE = 2
 STEP_S = 0.03
 LOOPBACK = '127.0.0.1'
+# The system takes the ports of outgoing connections from 32768 upwards.
+PORTS = range(10_000, 32_000)
 
 FindAddress = Callable[[], Address]
 
@@ -195,7 +198,21 @@
 
 
 def find_free_address() -> Address:
-    """Return an address on which nothing listens just now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return Address(LOOPBACK, probe.getsockname()[1])
+    """Return an address that nothing has now, nor an outgoing connection.
+
+    A process that is started again has to find its port free.
+    """
+    while True:
+        address = Address(LOOPBACK, SystemRandom().choice(PORTS))
+        if _is_free(address, socket.SOCK_STREAM):
+            if _is_free(address, socket.SOCK_DGRAM):
+                return address
+
+
+def _is_free(address: Address, kind: int) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind((address.host, address.port))
+        except OSError:
+            return False
+    return True
