Pass news of other zones on once

Cause: read in the diff: news from a host that isn't known as a neighbour was passed on to all neighbours, so three hosts of a zone of which each knew only the next could have sent it round without an end, each time to all.

Change: what is passed on says so and isn't passed on again.

Ruled out: leaving it to the list of hosts, which differs between hosts for as long as the store is away for some.

--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -7,6 +7,8 @@
 work from spilling over in bursts.
 """
 
+import msgspec
+
 from bamboodeck.admission.poison import CrashReport
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.discovery import Discovery
@@ -17,7 +19,6 @@
     EngineLoad,
     EvidenceTold,
     NearNews,
-    News,
     SessionNews,
     SessionTold,
     StoreNews,
@@ -193,11 +194,15 @@
             return
         self._merge(f'zone {news.zone}', news.evidence, news.crashes)
 
-    def _pass_on(self, host: str, news: News) -> None:
+    def _pass_on(self, host: str, news: ZoneNews | SessionNews) -> None:
         # Told by another zone: the neighbours hear it within this one.
         near = self.members.near()
-        if not any(peer.host == host for peer in near):
-            self.link.send(news, [peer.address for peer in near])
+        if news.passed_on or any(peer.host == host for peer in near):
+            return
+        self.link.send(
+            msgspec.structs.replace(news, passed_on=True),
+            [peer.address for peer in near],
+        )
 
     def _merge(
         self,
--- a/bamboodeck/gateway/news.py
+++ b/bamboodeck/gateway/news.py
@@ -70,12 +70,15 @@
     zone: str
     evidence: EvidenceTold = EvidenceTold()
     crashes: tuple[CrashTold, ...] = ()
+    # Whether a neighbour has passed it on; it does so once.
+    passed_on: bool = False
 
 
 class SessionNews(msgspec.Struct, frozen=True, array_like=True, tag='session'):
     """Tell all hosts of sessions that have to stay on their version."""
 
     sessions: tuple[SessionTold, ...]
+    passed_on: bool = False
 
 
 class StoreNews(msgspec.Struct, frozen=True, array_like=True, tag='store'):
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -14,7 +14,7 @@
 from bamboodeck.fakes.platform.engine import EngineFault
 from bamboodeck.gateway import fleet, following
 from bamboodeck.gateway.model import Bounds, RolloutState
-from bamboodeck.gateway.news import News
+from bamboodeck.gateway.news import News, ZoneNews
 from bamboodeck.gateway.ports import EngineUnlisted
 from bamboodeck.gateway.rollout_guide import SETTLE_S
 from bamboodeck.gateway.rollouts import falls_in_share, share_at
@@ -248,6 +248,33 @@
         )
 
 
+class TestPassingOn:
+    """Pass news of another zone on within the own one, but once."""
+
+    @pytest.mark.parametrize('sender', ['host-2', 'unheard-of'])
+    def test_once(
+        self,
+        world: GatewayWorld,
+        monkeypatch: pytest.MonkeyPatch,
+        sender: str,
+    ) -> None:
+        """Keep news from going round among hosts that don't know each other."""
+        # Its neighbour is the third host; the second is in the other zone.
+        app = world.apps[0]
+        told: list[News] = []
+        monkeypatch.setattr(
+            app.fleet.link,
+            'send',
+            lambda news, addresses: told.append(news),
+        )
+        app.fleet._take_zone(sender, ZoneNews('namur'))
+        passed_on = [each for each in told if isinstance(each, ZoneNews)]
+        assert [each.passed_on for each in passed_on] == [True]
+        told.clear()
+        app.fleet._take_zone(sender, passed_on[0])
+        assert not any(isinstance(each, ZoneNews) for each in told)
+
+
 class TestChangeLog:
     """Tell what has changed, also when a piece of news is lost."""
 
