Judge streams by events and allowed pauses; tell stray answers apart

A 101 response raised out of the parser.

Change: progress is a new event; the unresponsive time is the route's allowed pause, or its target for plain calls. A copy of the previous answer is skipped, unread bytes close a pooled connection before reuse, an answer without an id counts on a new connection only. 64 KiB of framing at most. Running requests are swept in the order of arrival.

--- a/bamboodeck/fakes/platform/engine.py
+++ b/bamboodeck/fakes/platform/engine.py
@@ -110,13 +110,15 @@
     def _handle(self, parsed: ParsedRequest, responder: RelayExchange) -> None:
         headers = dict(parsed.headers)
         request_id = headers.get(protocol.REQUEST_ID.lower(), '')
+        own_id = Header(protocol.REQUEST_ID, request_id)
         if headers.get(protocol.EXPECT_INSTANCE.lower()) != self.engine_id:
-            responder.respond(HTTPStatus.MISDIRECTED_REQUEST)
+            responder.respond(HTTPStatus.MISDIRECTED_REQUEST, (own_id,))
             return
         fault = self.faults.popleft() if self.faults else None
         if fault is EngineFault.SHED:
             not_run = Header(protocol.NOT_EXECUTED, '1')
-            responder.respond(HTTPStatus.SERVICE_UNAVAILABLE, (not_run,))
+            busy = HTTPStatus.SERVICE_UNAVAILABLE
+            responder.respond(busy, (own_id, not_run))
             return
         run = EngineRun(
             request_id,
--- a/bamboodeck/gateway/attempt.py
+++ b/bamboodeck/gateway/attempt.py
@@ -51,7 +51,7 @@
         self.estimate = estimate
         self.model = model
         self.began_s = now_s
-        self.last_data_s = now_s
+        self.last_progress_s = now_s
         self.first_s: float | None = None
         self.head: EngineHead | None = None
         self.connection: ClientConnection | None = None
@@ -63,6 +63,11 @@
         self.engine.requests += 1
         self.engine.prefill_ms += self._prefill_ms
 
+    def record_progress(self, now_s: float) -> None:
+        """Record that the answer, and so its engine, has made progress."""
+        self.last_progress_s = now_s
+        self.engine.last_progress_s = now_s
+
     def record_first_token(self, now_s: float) -> None:
         """Record the first token, which ends the prefill."""
         self.first_s = now_s
--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -18,6 +18,7 @@
 # Larger answers are forwarded as they arrive and can't be retried any more.
 MAX_HELD_BYTES = 1_048_576
 
+_MALFORMED = FailureKind.MALFORMED
 _OK = 200
 _FIRST_ERROR = 400
 _SERVER_ERROR = 500
@@ -72,11 +73,15 @@
 
     def on_data(self, attempt: Attempt, chunk: bytes) -> None:
         """Buffer the bytes; forward a large answer as it arrives."""
+        attempt.record_progress(self._exchange.context.now_s())
         if self._forwarding:
             self._forward(attempt, chunk)
             return
         self._body += chunk
-        if len(self._body) <= MAX_HELD_BYTES or attempt.head.not_run:
+        if len(self._body) <= MAX_HELD_BYTES:
+            return
+        if attempt.head.not_run:
+            attempt.fail('rejection exceeds the size limit', _MALFORMED)
             return
         self._forwarding = True
         self._exchange.record_first_byte()
@@ -159,7 +164,7 @@
         if head.status != _OK or head.not_run:
             return
         if not head.stamped:
-            attempt.fail('stream has no stamp', FailureKind.MALFORMED)
+            attempt.fail('stream has no stamp', _MALFORMED)
             return
         self._streaming = True
         if not self._exchange.responder.started:
@@ -173,10 +178,13 @@
         try:
             events = self._splitter.feed(chunk)
         except EventTooLargeError:
-            attempt.fail('event exceeds the size limit', FailureKind.MALFORMED)
+            attempt.fail('event exceeds the size limit', _MALFORMED)
             return
+        events = self._take_new(events)
         if not events:
             return
+        if any(not event.is_comment for event in events):
+            attempt.record_progress(self._exchange.context.now_s())
         if attempt.first_s is None:
             self._exchange.record_first_token(attempt)
         self._forward_events(attempt, events)
@@ -215,23 +223,24 @@
             attempt.head.headers,
         )
 
-    def _forward_events(
-        self,
-        attempt: Attempt,
-        events: list[StreamEvent],
-    ) -> None:
+    def _take_new(self, events: list[StreamEvent]) -> list[StreamEvent]:
         exchange = self._exchange
         new = []
         for event in events:
             if _is_repeated(event, exchange.last_event_id):
                 continue
-            new.append(event.content)
+            new.append(event)
             if event.event_id is not None:
                 exchange.last_event_id = event.event_id
-        if not new:
-            return
+        return new
+
+    def _forward_events(
+        self,
+        attempt: Attempt,
+        events: list[StreamEvent],
+    ) -> None:
         self._begin(attempt)
-        exchange.forward(b''.join(new))
+        self._exchange.forward(b''.join(event.content for event in events))
 
 
 def _is_repeated(event: StreamEvent, last_event_id: str | None) -> bool:
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -48,7 +48,7 @@
     failure_rate: float = 0.0
     pauses: int = 0
     paused_until_s: float = 0.0
-    last_data_s: float = 0.0
+    last_progress_s: float = 0.0
     # Set once the registry lists it as draining, for the whole incarnation.
     leaving: bool = False
     unlisted: bool = False
@@ -80,7 +80,7 @@
 
     def record_success(self, now_s: float) -> None:
         """Record an answer, which also ends the pauses."""
-        self.last_data_s = now_s
+        self.last_progress_s = now_s
         self.pauses = 0
         self.failure_rate *= 1 - FAILURE_WEIGHT
 
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -62,6 +62,9 @@
     def on_rejected(self, exchange: 'Exchange', attempt: Attempt) -> None:
         """Record that an engine rejected a request without running it."""
 
+    def on_overdue(self, exchange: 'Exchange', attempt: Attempt) -> None:
+        """Record an attempt that is incomplete at the deadline."""
+
 
 class ExchangeOwner(Protocol):
     """Place exchanges on engines and record their outcomes."""
@@ -298,9 +301,10 @@
     def on_attempt_head(self, attempt: Attempt) -> None:
         """Check the head of an answer."""
         head = attempt.head
-        attempt.engine.last_data_s = self.context.now_s()
-        own_id = self.request.request_id
-        if head.request_id is not None and head.request_id != own_id:
+        attempt.engine.last_progress_s = self.context.now_s()
+        if not _is_own_answer(attempt, self.request.request_id):
+            # Nothing that it says holds for this request.
+            attempt.head = None
             attempt.fail(
                 'answer has the id of another request',
                 FailureKind.MALFORMED,
@@ -312,9 +316,6 @@
 
     def on_attempt_data(self, attempt: Attempt, chunk: bytes) -> None:
         """Forward or buffer the next bytes of the answer."""
-        now_s = self.context.now_s()
-        attempt.last_data_s = now_s
-        attempt.engine.last_data_s = now_s
         self.delivery.on_data(attempt, chunk)
 
     def on_attempt_end(self, attempt: Attempt) -> None:
@@ -401,6 +402,8 @@
     def _on_deadline(self) -> None:
         if self.ended:
             return
+        if self.attempt is not None:
+            self._owner.outcomes.on_overdue(self, self.attempt)
         if (
             self.responder.started
             or self.may_have_run
@@ -474,5 +477,12 @@
         )
 
 
+def _is_own_answer(attempt: Attempt, request_id: str) -> bool:
+    if attempt.head.request_id is None:
+        # On a reused connection it may answer an earlier request.
+        return attempt.connection.calls == 1
+    return attempt.head.request_id == request_id
+
+
 def _render(reason: str) -> bytes:
     return b'{"error": "%b"}' % reason.encode()
--- a/bamboodeck/gateway/outcomes.py
+++ b/bamboodeck/gateway/outcomes.py
@@ -72,6 +72,15 @@
         # Another engine has the address; the registry will follow.
         self._pause(engine, 'another engine answers at this address')
 
+    def on_overdue(self, exchange: Exchange, attempt: Attempt) -> None:
+        """Record an attempt that is incomplete at the deadline.
+
+        A request that can't be retried shows only so that its engine hangs.
+        """
+        took_s = self._context.now_s() - attempt.began_s
+        if took_s > exchange.route.target_latency_s:
+            attempt.engine.record_failure()
+
     def record_latency(
         self,
         exchange: Exchange,
--- a/bamboodeck/gateway/stalls.py
+++ b/bamboodeck/gateway/stalls.py
@@ -15,34 +15,40 @@
 FIRST_TOKEN_TARGET_FRACTION = 0.35
 # A stream is given up once the gap exceeds this multiple of the allowed one.
 GAP_FACTOR = 1.2
-# An engine is unresponsive if none of several requests receives any data.
-UNRESPONSIVE_S = 0.45
+# An engine is unresponsive if none of several requests makes progress for as
+# long as the route allows a pause. A long prefill alone silences an engine's
+# streams for nearly that long.
 UNRESPONSIVE_MIN_REQUESTS = 3
 
 
 class AttemptProgress(msgspec.Struct, frozen=True):
-    """Describe when an attempt and its engine last made progress."""
+    """Describe when an attempt and its engine last made progress.
+
+    A stream progresses by complete events, so that single bytes of an engine
+    that hangs don't count.
+    """
 
     now_s: float
     began_s: float
-    last_data_s: float
+    last_progress_s: float
     streaming: bool
     predicted_s: float
     target_s: float
     max_gap_s: float
-    engine_last_data_s: float
+    engine_last_progress_s: float
     engine_requests: int
 
 
 def detect_stall(progress: AttemptProgress) -> FailureKind | None:
     """Return the kind of failure of a stalled attempt, if it is stalled."""
-    since_s = max(progress.began_s, progress.engine_last_data_s)
+    since_s = max(progress.began_s, progress.engine_last_progress_s)
     busy = progress.engine_requests >= UNRESPONSIVE_MIN_REQUESTS
-    engine_timeout_s = max(UNRESPONSIVE_S, progress.predicted_s)
+    allowed_s = progress.max_gap_s or progress.target_s
+    engine_timeout_s = max(allowed_s, progress.predicted_s)
     if busy and progress.now_s - since_s > engine_timeout_s:
         return FailureKind.SILENT
     if progress.streaming:
-        gap_s = progress.now_s - progress.last_data_s
+        gap_s = progress.now_s - progress.last_progress_s
         if progress.max_gap_s and gap_s > progress.max_gap_s * GAP_FACTOR:
             return FailureKind.LATE
         return None
--- a/bamboodeck/gateway/streams.py
+++ b/bamboodeck/gateway/streams.py
@@ -19,6 +19,13 @@
     content: bytes
     event_id: str | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Tell whether it holds comment lines only, such as a keep-alive."""
+        return all(
+            line.startswith(b':') for line in self.content.splitlines() if line
+        )
+
 
 class EventSplitter:
     """Buffer bytes until an event is complete."""
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -56,7 +56,8 @@
         self.context = context
         self.codec = codec
         self._rollouts = rollouts
-        self.running: set[Exchange] = set()
+        # In the order of arrival, so that a run can be repeated.
+        self.running: dict[Exchange, None] = {}
         self.candidates = Candidates(context, rollouts)
         self.outcomes = OutcomeTracker(context, rollouts)
         self._queued: dict[int, QueuedRequest] = {}
@@ -155,7 +156,7 @@
 
     def on_ended(self, exchange: Exchange) -> None:
         """Release the capacity of an ended exchange to queued ones."""
-        self.running.discard(exchange)
+        self.running.pop(exchange, None)
         self._dequeue(exchange)
         if exchange.service:
             self.context.queue.adjust_running(
@@ -176,7 +177,7 @@
             return
         now_s = self.context.now_s()
         exchange.service = service
-        self.running.add(exchange)
+        self.running[exchange] = None
         self.context.queue.adjust_running(service, exchange.customer_name, 1)
         self.context.budget.record_request(service, now_s)
         exchange.fingerprint = fingerprint_of(
@@ -316,13 +317,13 @@
             AttemptProgress(
                 now_s=now_s,
                 began_s=attempt.began_s,
-                last_data_s=attempt.last_data_s,
+                last_progress_s=attempt.last_progress_s,
                 streaming=attempt.first_s is not None,
                 predicted_s=attempt.estimate.first_token_ms
                 / _MILLISECONDS_PER_S,
                 target_s=exchange.route.target_latency_s,
                 max_gap_s=exchange.route.max_gap_s,
-                engine_last_data_s=attempt.engine.last_data_s,
+                engine_last_progress_s=attempt.engine.last_progress_s,
                 engine_requests=attempt.engine.requests,
             ),
         )
--- a/bamboodeck/http/client.py
+++ b/bamboodeck/http/client.py
@@ -99,14 +99,15 @@
         max_idle_s: float | None,
     ) -> ClientConnection | None:
         idle = self._idle.get(address)
-        if not idle:
-            return None
-        connection = idle.pop()
-        if max_idle_s is None:
-            return connection
-        if self.loop.scheduler.now_s() - connection.idle_since_s <= max_idle_s:
-            return connection
-        # The most recently used connection was popped; the rest idled longer.
-        for old in (connection, *idle):
-            old.cancel()
+        while idle:
+            connection = idle.pop()
+            idle_s = self.loop.scheduler.now_s() - connection.idle_since_s
+            if max_idle_s is not None and idle_s > max_idle_s:
+                # The connections left in the pool have idled longer.
+                for old in (connection, *idle):
+                    old.cancel()
+                return None
+            if connection.is_quiet():
+                return connection
+            connection.cancel()
         return None
--- a/bamboodeck/http/client_connection.py
+++ b/bamboodeck/http/client_connection.py
@@ -7,6 +7,7 @@
 from bamboodeck.http.messages import (
     Address,
     FailureKind,
+    Header,
     HttpCall,
     HttpFailed,
     StreamSink,
@@ -50,6 +51,7 @@
         self._loop = pool.loop
         self._sink: StreamSink | None = None
         self._parser = ReplyParser()
+        self._echo: Header | None = None
         self._outgoing = b''
         self._sent_any = False
         self._timer: ScheduledCall | None = None
@@ -71,11 +73,28 @@
             self._on_writable,
         )
 
+    def is_quiet(self) -> bool:
+        """Tell whether an idle connection is open and has received nothing.
+
+        Bytes that arrive between two calls belong to neither, such as a late
+        second copy of the previous answer.
+        """
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def start(self, call: HttpCall, sink: StreamSink) -> None:
         """Send a call; the sink receives the response."""
         self.idle = False
         self._sink = sink
-        self._parser = ReplyParser()
+        # A second copy of the previous response may arrive late.
+        previous = self._echo
+        self._echo = call.echo
+        self._parser = ReplyParser(None if previous == call.echo else previous)
         self._outgoing = build_request_bytes(call)
         self._sent_any = False
         self.calls += 1
--- a/bamboodeck/http/messages.py
+++ b/bamboodeck/http/messages.py
@@ -63,6 +63,8 @@
     connect_timeout_s: float | None = None
     # The Host header; the address if empty.
     host: str = ''
+    # Header by which the peer's response names this call.
+    echo: Header | None = None
 
 
 class HttpReply(msgspec.Struct, frozen=True):
--- a/bamboodeck/http/reply_parser.py
+++ b/bamboodeck/http/reply_parser.py
@@ -3,9 +3,14 @@
 import httptools
 
 from bamboodeck.errors import BamboodeckError
-from bamboodeck.http.messages import Header, ReplyHead
+from bamboodeck.http.messages import Header, ReplyHead, find_header
+
+# Limits the bytes outside a body: a head with the skipped responses before it,
+# chunk extensions, and trailers.
+MAX_FRAMING_BYTES = 65_536
 
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+_FIRST_FINAL_STATUS = 200
 
 
 class ReplySyntaxError(BamboodeckError):
@@ -15,8 +20,8 @@
 class ReplyParser:
     """Parse one response incrementally."""
 
-    def __init__(self) -> None:
-        """Start before the head."""
+    def __init__(self, skipped: Header | None = None) -> None:
+        """Start before the head; skip responses with the `skipped` header."""
         self.head: ReplyHead | None = None
         self.complete = False
         self.keep_alive = False
@@ -25,6 +30,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._parts: list[bytes] = []
+        self._skipped = skipped
+        self._skipping = False
+        # Bytes received since the last byte of the body.
+        self._framing_bytes = 0
 
     @property
     def close_delimited(self) -> bool:
@@ -42,7 +51,11 @@
                 self.extra_data = True
                 return self._pop_body()
             raise ReplySyntaxError(f'response is not valid HTTP: {error}')
-        return self._pop_body()
+        except httptools.HttpParserUpgrade:
+            raise ReplySyntaxError('response switches protocols')
+        body = self._pop_body()
+        self._count_framing(0 if body else len(chunk))
+        return body
 
     def on_message_begin(self) -> None:
         """Detect a second response."""
@@ -50,15 +63,19 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Append a header."""
-        if self.extra_data:
+        if self.extra_data or self.head is not None:
             return
         self._headers.append(
             Header(name.decode('latin-1'), text.decode('latin-1')),
         )
 
     def on_headers_complete(self) -> None:
-        """Build the head."""
-        if self.extra_data:
+        """Build the head, unless the response is to be skipped."""
+        if self.extra_data or self.head is not None:
+            return
+        self._skipping = self._is_skipped()
+        if self._skipping:
+            self._headers.clear()
             return
         self.head = ReplyHead(
             self._parser.get_status_code(),
@@ -67,16 +84,33 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body."""
-        if not self.extra_data:
+        if not (self.extra_data or self._skipping):
             self._parts.append(body)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
-        if self.extra_data:
+        if self.extra_data or self._skipping:
             return
         self.complete = True
         self.keep_alive = self._parser.should_keep_alive()
 
+    def _is_skipped(self) -> bool:
+        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            return True
+        if self._skipped is None:
+            return False
+        found = find_header(tuple(self._headers), self._skipped.name)
+        return found == self._skipped.text
+
+    def _count_framing(self, size_bytes: int) -> None:
+        if size_bytes == 0:
+            self._framing_bytes = 0
+        self._framing_bytes += size_bytes
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self.complete:
+            raise ReplySyntaxError(
+                f'response has over {MAX_FRAMING_BYTES} bytes of framing',
+            )
+
     def _pop_body(self) -> bytes:
         parts = self._parts
         if len(parts) == 1:
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -119,6 +119,7 @@
         timeout_s=call.time_left_s,
         connect_timeout_s=connect_timeout_s,
         host=request.headers[0].text,
+        echo=Header(protocol.REQUEST_ID, request.request_id),
     )
 
 
--- /dev/null
+++ b/tests/gateway/test_hostile_engines.py
@@ -0,0 +1,351 @@
+"""Test answers of engines that no request expects."""
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+import pytest
+
+from bamboodeck.fakes.platform.documents import (
+    CHAT,
+    LOOK,
+    MODELS,
+    PAY,
+    SHOP,
+    SMALL,
+)
+from bamboodeck.http.client import HttpClient
+from bamboodeck.http.messages import Address, Header, HttpCall
+from bamboodeck.platform import protocol
+from tests.gateway.harness import GatewayHarness
+from tests.gateway.raw_engine import CHUNK, Call, RawEngine, Script
+from tests.http.looping import build_loop, run_until
+
+CHUNKED = 'Transfer-Encoding: chunked'
+EVENT_STREAM = 'Content-Type: text/event-stream'
+# What the kernel may buffer between two sockets, and one chunk for each write.
+MAX_IN_FLIGHT_BYTES = 16_000_000
+
+
+def answer_at_once(call: Call) -> None:
+    """Answer with the request's id as the body."""
+    call.write_answer(call.request_id.encode())
+
+
+class Bench(GatewayHarness):
+    """Run a gateway in front of an engine that a test scripts."""
+
+    def __init__(self) -> None:
+        """Start without engines."""
+        super().__init__()
+        self.raw: list[RawEngine] = []
+
+    def add_raw(self, script: Script, service: str = SHOP) -> RawEngine:
+        """List a scripted engine and wait until it is known."""
+        engine = RawEngine(self.loop, script)
+        self.raw.append(engine)
+        entry = {
+            'service': service,
+            'address': f'127.0.0.1:{engine.port}',
+            'zone': 'gent',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'sequence': 1,
+            'born': 1,
+        }
+        key = f'{protocol.ENGINE_PREFIX}raw-{len(self.raw)}'
+        self.store.put(key, msgspec.json.encode(entry))
+        self.until_engines(len(self.raw) + len(self.engines))
+        return engine
+
+    def failure_rate(self, engine_id: str = 'raw-1') -> float:
+        """Return the failure rate that the gateway knows of an engine."""
+        return self.apps[0].context.engines.find(engine_id).failure_rate
+
+    def close(self) -> None:
+        """Stop everything."""
+        for engine in self.raw:
+            engine.close()
+        super().close()
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    """Run a gateway without engines."""
+    bench = Bench()
+    yield bench
+    bench.close()
+
+
+class TestStrayAnswers:
+    """Never take an answer for that of another request."""
+
+    def test_late_copy(self, bench: Bench) -> None:
+        """Skip a copy of the previous answer, and deliver the own one."""
+
+        def script(call: Call) -> None:
+            for earlier in engine.calls[:-1]:
+                copied = Call(bench.loop, call.connection, earlier.parsed)
+                answer_at_once(copied)
+            answer_at_once(call)
+
+        engine = bench.add_raw(script)
+        answers = [bench.ask(PAY) for _ in range(2)]
+        assert [answer.status for answer in answers] == [200, 200]
+        assert [answer.body for answer in answers] == [
+            b'request-1',
+            b'request-2',
+        ]
+
+    def test_copy_while_idle(self, bench: Bench) -> None:
+        """Close a connection that receives an answer between two requests."""
+        engine = bench.add_raw(answer_at_once)
+        bench.ask(PAY)
+        answer_at_once(engine.calls[0])
+        bench.until(lambda: not engine.connections)
+        answer = bench.ask(PAY)
+        assert (answer.status, answer.body) == (200, b'request-2')
+
+    def test_copy_just_before_reuse(self) -> None:
+        """Send nothing on a connection with unread bytes."""
+        loop = build_loop()
+        client = HttpClient(loop)
+        engine = RawEngine(loop, answer_at_once)
+        bodies = []
+
+        def send(number: int) -> None:
+            headers = (Header(protocol.REQUEST_ID, f'request-{number}'),)
+            address = Address('127.0.0.1', engine.port)
+            call = HttpCall(address, 'POST', '/', b'', headers)
+            client.send(call, lambda reply: bodies.append(reply.body))
+
+        send(1)
+        run_until(loop, lambda: len(bodies) == 1)
+        answer_at_once(engine.calls[0])
+        # The loop doesn't run between the copy's arrival and the next call.
+        send(2)
+        run_until(loop, lambda: len(bodies) == 2)
+        client.close()
+        engine.close()
+        assert bodies == [b'request-1', b'request-2']
+
+    @pytest.mark.parametrize('of_previous', [True, False])
+    def test_refusal_of_another(
+        self,
+        bench: Bench,
+        *,
+        of_previous: bool,
+    ) -> None:
+        """Never report a payment as not run by a refusal of another."""
+        refused_id = 'request-1' if of_previous else 'stranger'
+
+        def script(call: Call) -> None:
+            if len(engine.calls) == 1:
+                answer_at_once(call)
+                return
+            lines = (
+                'HTTP/1.1 503 Service Unavailable',
+                f'{protocol.REQUEST_ID}: {refused_id}',
+                f'{protocol.NOT_EXECUTED}: 1',
+                'Content-Length: 0',
+            )
+            call.write('\r\n'.join((*lines, '', '')).encode())
+
+        engine = bench.add_raw(script)
+        bench.ask(PAY)
+        answer = bench.ask(PAY)
+        assert answer.status in {502, 504}
+        assert len(engine.calls) == 2
+
+    def test_answer_without_id(self, bench: Bench) -> None:
+        """Take an answer without an id on a new connection only."""
+
+        def script(call: Call) -> None:
+            lines = (
+                'HTTP/1.1 200 OK',
+                f'{protocol.STAMP}: stamp-raw',
+                'Content-Length: 4',
+            )
+            call.write('\r\n'.join((*lines, '', 'body')).encode())
+
+        bench.add_raw(script)
+        assert [bench.ask(PAY).status for _ in range(2)] == [200, 502]
+
+
+def endless_header(call: Call) -> None:
+    """Send headers without end."""
+    call.write(b'HTTP/1.1 200 OK\r\n')
+    call.repeat(b'X-Filler: %b\r\n' % (b'x' * CHUNK))
+
+
+def endless_header_value(call: Call) -> None:
+    """Send a header without end."""
+    call.write(b'HTTP/1.1 200 OK\r\nX-Filler: ')
+    call.repeat(b'x' * CHUNK)
+
+
+def endless_reason(call: Call) -> None:
+    """Send a status line without end."""
+    call.write(b'HTTP/1.1 200 ')
+    call.repeat(b'x' * CHUNK)
+
+
+def endless_informational(call: Call) -> None:
+    """Send informational responses without end."""
+    call.repeat(b'HTTP/1.1 102 Processing\r\n\r\n' * 500)
+
+
+def endless_chunk_extension(call: Call) -> None:
+    """Send a chunk extension without end."""
+    call.write_head(CHUNKED)
+    call.write(b'5;')
+    call.repeat(b'x' * CHUNK)
+
+
+def endless_trailers(call: Call) -> None:
+    """Send trailers without end."""
+    call.write_head(CHUNKED)
+    call.write(b'2\r\nok\r\n0\r\n')
+    call.repeat(b'X-Filler: %b\r\n' % (b'x' * CHUNK))
+
+
+def no_protocol(call: Call) -> None:
+    """Send bytes that are no HTTP, without end."""
+    call.repeat(b'\x00\xff' * CHUNK)
+
+
+class TestEndlessBytes:
+    """Bound what an engine may send that is no answer."""
+
+    @pytest.mark.parametrize(
+        'script',
+        [
+            endless_header,
+            endless_header_value,
+            endless_reason,
+            endless_informational,
+            endless_chunk_extension,
+            endless_trailers,
+            no_protocol,
+        ],
+    )
+    def test_framing(self, bench: Bench, script: Callable) -> None:
+        """Fail the attempt, close the connection and judge the engine."""
+        engine = bench.add_raw(script)
+        answer = bench.ask(PAY)
+        assert answer.status == 502
+        bench.until(lambda: not engine.connections)
+        assert engine.calls[0].sent_bytes < MAX_IN_FLIGHT_BYTES
+        assert bench.failure_rate() > 0
+
+    def test_slow_head(self, bench: Bench) -> None:
+        """End a head that never ends when its route's time is over."""
+
+        def script(call: Call) -> None:
+            call.write(b'HTTP/1.1 200 OK\r\n')
+            call.repeat(b'X: y\r\n', every_s=0.05)
+
+        engine = bench.add_raw(script)
+        answer = bench.ask(PAY)
+        assert answer.status == 504
+        bench.until(lambda: not engine.connections)
+        assert bench.failure_rate() > 0
+
+    def test_rejection(self, bench: Bench) -> None:
+        """Don't hold the endless body of a rejection."""
+
+        def script(call: Call) -> None:
+            call.write_head(
+                f'{protocol.NOT_EXECUTED}: 1',
+                CHUNKED,
+                status='503 Service Unavailable',
+            )
+            call.repeat(b'%x\r\n%b\r\n' % (CHUNK, b'x' * CHUNK))
+
+        engine = bench.add_raw(script)
+        answer = bench.ask(PAY)
+        assert answer.status == 503
+        bench.until(lambda: not engine.connections)
+        assert engine.calls[0].sent_bytes < MAX_IN_FLIGHT_BYTES
+
+    def test_body(self, bench: Bench) -> None:
+        """Abort an endless body at the route's time, as incomplete."""
+
+        def script(call: Call) -> None:
+            call.write_head(CHUNKED)
+            call.repeat(b'%x\r\n%b\r\n' % (CHUNK, b'x' * CHUNK), every_s=0.01)
+
+        engine = bench.add_raw(script)
+        answer = bench.ask(PAY)
+        assert not answer.whole
+        bench.until(lambda: not engine.connections)
+        assert bench.failure_rate() > 0
+
+    def test_event(self, bench: Bench) -> None:
+        """Fail a stream whose event never ends."""
+
+        def script(call: Call) -> None:
+            call.write_head(EVENT_STREAM, 'Connection: close')
+            call.write(b'id: 1\ndata: ')
+            call.repeat(b'x' * CHUNK)
+
+        engine = bench.add_raw(script, MODELS)
+        answer = bench.ask(CHAT, model=SMALL)
+        assert answer.status == 502
+        bench.until(lambda: not engine.connections)
+        assert bench.failure_rate() > 0
+
+
+class TestSlowStreams:
+    """Tell slow streams from stalled ones by the route's allowed pause."""
+
+    def test_sound(self, bench: Bench) -> None:
+        """Keep streams that an engine's long prefill holds up."""
+
+        def script(call: Call) -> None:
+            call.write_head(EVENT_STREAM, 'Connection: close')
+            call.write(b'id: 1\ndata: a\n\n')
+
+            def finish() -> None:
+                call.write(b'id: 2\ndata: b\n\n')
+                call.connection.close()
+
+            # The route allows 0.8 s.
+            bench.loop.scheduler.call_after(0.6, finish)
+
+        engine = bench.add_raw(script, MODELS)
+        answers = [bench.send(CHAT, model=SMALL) for _ in range(4)]
+        bench.until(lambda: all(answer.ended for answer in answers))
+        assert all(answer.whole for answer in answers)
+        assert len(engine.calls) == 4
+
+    @pytest.mark.parametrize(
+        'trickle',
+        [b':', b': keep-alive\n\n', b'data', b'id: 1\ndata: a\n\n'],
+    )
+    def test_trickle(self, bench: Bench, trickle: bytes) -> None:
+        """Resume a stream elsewhere that sends bytes but no new events."""
+
+        def script(call: Call) -> None:
+            call.write_head(EVENT_STREAM, 'Connection: close')
+            call.write(b'id: 1\ndata: a\n\n')
+            if len(bench.raw[0].calls) == 1:
+                call.repeat(trickle, every_s=0.1)
+                return
+            call.write(b'id: 2\ndata: b\n\n')
+            call.connection.close()
+
+        engine = bench.add_raw(script, MODELS)
+        answer = bench.ask(CHAT, model=SMALL)
+        assert answer.whole
+        assert answer.body.startswith(b'id: 1\ndata: a\n\n')
+        assert answer.body.endswith(b'id: 2\ndata: b\n\n')
+        assert len(engine.calls) == 2
+
+    def test_look_again(self, bench: Bench) -> None:
+        """Retry a safe call elsewhere after an endless head."""
+        bench.add_raw(endless_header)
+        bench.add_raw(answer_at_once)
+        answers = [bench.ask(LOOK, method='GET') for _ in range(4)]
+        assert [answer.status for answer in answers] == [200] * 4
