--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -233,6 +233,8 @@
     max_descriptors: int
     memory_mb: int
     bounds: 'Bounds'
+    # The whole fleet starts for the first time, so nothing was withdrawn yet.
+    first_start: bool = False
 
 
 class Bounds(msgspec.Struct, frozen=True):
--- a/bamboodeck/http/connection.py
+++ b/bamboodeck/http/connection.py
@@ -83,6 +83,11 @@
         self.sock.close()
         self._on_closed(self)
 
+    def receive_pending(self) -> None:
+        """Receive what the kernel holds now, if anything."""
+        if not self.closed and self._reading:
+            self._receive()
+
     def set_reading(self, *, reading: bool) -> None:
         """Pause or resume receiving."""
         self._reading = reading
--- a/bamboodeck/http/relay_server.py
+++ b/bamboodeck/http/relay_server.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from bamboodeck.http.connection import Connection
-from bamboodeck.http.listening import open_listener
+from bamboodeck.http.listening import LISTEN_BACKLOG, open_listener
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.http.request_parser import (
     MAX_PIPELINED_BYTES,
@@ -25,6 +25,9 @@
 
 # Limits the length of a loop iteration while many callers connect.
 MAX_ACCEPTS_PER_TURN = 64
+# A caller whose connection was accepted just before the server stops sends its
+# request within this time.
+FIRST_REQUEST_S = 0.5
 # A quarter of the shortest timeout that a configuration may sensibly set.
 SWEEP_PERIOD_S = 0.25
 
@@ -152,6 +155,7 @@
         'exchange',
         'intake',
         'queue',
+        'served',
         'server',
         'heard_s',
     )
@@ -166,6 +170,13 @@
         )
         self.queue: deque[ParsedRequest] = deque()
         self.heard_s = now_s
+        # Whether a request of the connection was handled.
+        self.served = False
+
+    @property
+    def is_idle(self) -> bool:
+        busy = self.exchange is not None or self.queue
+        return not busy and not self.intake.in_request
 
 
 RelayHandler = Callable[[ParsedRequest, RelayExchange], None]
@@ -223,13 +234,16 @@
         """Stop accepting; close each connection after its current response."""
         self.stopping = True
         if self._listening:
+            # Callers in the backlog are connected already.
+            self._accept(LISTEN_BACKLOG)
             self._listening = False
             if self._watch is not None:
                 self._loop.poller.unwatch(self._watch)
             self._sock.close()
         for client in list(self.connections.values()):
-            busy = client.exchange is not None or client.queue
-            if not busy and not client.intake.in_request:
+            # Closing with unread bytes would reset a request on its way.
+            client.connection.receive_pending()
+            if client.is_idle and client.served:
                 client.connection.close()
 
     def finish_exchange(self, client: _Client, *, close: bool) -> None:
@@ -244,8 +258,8 @@
         client.connection.set_reading(reading=True)
         self._serve_next(client)
 
-    def _accept(self) -> None:
-        for _ in range(MAX_ACCEPTS_PER_TURN):
+    def _accept(self, limit: int = MAX_ACCEPTS_PER_TURN) -> None:
+        for _ in range(limit):
             try:
                 sock, _ = self._sock.accept()
             except OSError:
@@ -287,6 +301,7 @@
             request = client.queue.popleft()
             exchange = RelayExchange(client, request)
             client.exchange = exchange
+            client.served = True
             try:
                 self._on_request(request, exchange)
             except Exception:
@@ -327,9 +342,14 @@
                 if quiet_s > self.limits.header_timeout_s:
                     timeout = HTTPStatus.REQUEST_TIMEOUT
                     self._refuse(client, BadRequestError(timeout, 'too slow'))
-            elif quiet_s > self.limits.idle_timeout_s:
+            elif quiet_s > self._idle_limit_s(client):
                 client.connection.close()
 
+    def _idle_limit_s(self, client: _Client) -> float:
+        if self._listening or not client.is_idle:
+            return self.limits.idle_timeout_s
+        return FIRST_REQUEST_S
+
     def _on_connection_closed(self, connection: Connection) -> None:
         client = self.connections.pop(connection)
         client.queue.clear()
--- a/bamboodeck/platform/host_settings.py
+++ b/bamboodeck/platform/host_settings.py
@@ -82,6 +82,7 @@
         max_descriptors=int(reader.number('limits.max_fds', 1024)),
         memory_mb=int(reader.number('limits.memory_mb', 256)),
         bounds=_read_bounds(reader),
+        first_start=fields.get('bootstrap') == 'true',
     )
     if reader.faults:
         raise HostSettingsError('\n'.join(reader.faults))
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -114,6 +114,8 @@
         host: str,
         zone: str | None = None,
         bounds: Bounds = SHORT_BOUNDS,
+        *,
+        first_start: bool = False,
     ) -> GatewayApp:
         """Start a gateway, by default in alternating zones."""
         output = LinesOutput()
@@ -132,6 +134,7 @@
             max_descriptors=1024,
             memory_mb=256,
             bounds=bounds,
+            first_start=first_start,
         )
         environment = Environment(stderr=output)
         app = GatewayApp(environment, settings, PLATFORM, output)
