Bound a zone's calls to a store that is away; keep time by the monotonic clock

Causes: - Each host retried by itself, and a host that the store refused took each neighbour's news as the store's return and began its delays anew. Refused writes were repeated every 0.6 s. A host restarted with its clock set back was ignored by its peers.

Change: stale hosts poll in turn by rank without waiting and publish at once; in an outage the first host retries up to once a second, the others together once a second; a host learns from its zone without forgetting its own failures. Steps follow the monotonic clock, a late learner limits the time of day by the known step. Writes back off.

Ruled out: ages in place of wall times for crash reports. Reports go round, so each transit would make a crash younger than its clearing.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -40,19 +40,21 @@
 )
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
 from bamboodeck.gateway.store_polling import (
+    SECOND_STALENESS_FRACTION,
     ChangeLog,
     PollSchedule,
     StoreView,
     ZoneRank,
     build_schedule,
+    find_retry_delay_s,
 )
 from bamboodeck.loop.scheduler import ScheduledCall
 
-# Backoff of calls to a store that doesn't answer.
-INITIAL_RETRY_S = 0.1
-MAX_RETRY_S = 1.0
-# Upper bound for a host that learns from a peer when the store is back.
-MAX_FOLLOWER_RETRY_S = 2.5
+# The delay after a failed call depends on the live hosts of the zone, so it is
+# checked again this often.
+RECHECK_S = 0.5
+# Doubling further would overflow the delay.
+MAX_FAILURES = 16
 # Running engines are listed again about two seconds after an outage.
 RELIST_S = 2.5
 
@@ -77,6 +79,8 @@
         """
         self.revision = 0
         self.complete = False
+        # Publishes an update to the zone at once.
+        self.on_regained: Callable[[], None] | None = None
         self._context = context
         self._registry = registry
         self._rollouts = rollouts
@@ -92,21 +96,29 @@
         self._timer: ScheduledCall | None = None
         self._lost_since_s: float | None = None
         self._relist_until_s = 0.0
-        self._retry_s = INITIAL_RETRY_S
+        # Calls of this host that failed in a row.
+        self._failures = 0
+        self._failed_s = 0.0
+        self._retry_spread = 1.0
         self._missing: dict[str, EngineUnlisted] = {}
 
     def start(self) -> None:
         """Read a snapshot, then poll for changes."""
         self._polling = True
-        self._registry.read_all(self._on_first_reply, stale=True)
+        # A stale read may still list what was withdrawn before a restart.
+        self._registry.read_all(
+            self._on_first_reply,
+            stale=self._context.settings.first_start,
+        )
 
     def build_update(self) -> StoreUpdate | None:
         """Return the update for the zone, if this host polls for it."""
         schedule = self._schedule()
         now_s = self._context.now_s()
         # A host that relies on updates of others has nothing newer to publish.
-        recent = now_s - self._last_reply_s <= 2 * schedule.wait_s
-        if not (schedule.shares and self.complete and recent):
+        if not (schedule.publish_s and self.complete):
+            return None
+        if now_s - self._last_reply_s > schedule.publish_s:
             return None
         return self._changes.build_update(
             StoreView(
@@ -203,14 +215,26 @@
         )
 
     def _poll_if_stale(self) -> None:
-        schedule = self._schedule()
-        due_s = self._context.registry_confirmed_s + schedule.max_staleness_s
-        left_s = due_s - self._context.now_s()
-        if left_s > 0 and self._lost_since_s is None:
-            self._schedule_poll(left_s)
+        left_s = self._find_due_s() - self._context.now_s()
+        if left_s > 0:
+            self._schedule_poll(min(left_s, RECHECK_S))
             return
         self._poll()
 
+    def _find_due_s(self) -> float:
+        schedule = self._schedule()
+        stale_s = self._context.registry_confirmed_s + schedule.max_staleness_s
+        if not self._failures:
+            return stale_s
+        zone_served = self._lost_since_s is None
+        delay_s = find_retry_delay_s(
+            self._find_zone_rank(),
+            self._failures,
+            zone_served=zone_served,
+        )
+        retry_s = self._failed_s + delay_s * self._retry_spread
+        return max(retry_s, stale_s) if zone_served else retry_s
+
     def _poll(self) -> None:
         if self._polling:
             return
@@ -226,9 +250,19 @@
 
     def _record_reply(self, revision: int) -> None:
         now_s = self._context.now_s()
+        was_stale = self._is_staler_than(SECOND_STALENESS_FRACTION)
         self._context.registry_confirmed_s = now_s
         self._last_reply_s = now_s
+        self._failures = 0
         self._on_store_regained(revision)
+        if was_stale and self.on_regained is not None:
+            self.on_regained()
+
+    def _is_staler_than(self, fraction: float) -> bool:
+        bounds = self._context.settings.bounds
+        bound_s = min(bounds.drain_s, bounds.configuration_s)
+        age_s = self._context.now_s() - self._context.registry_confirmed_s
+        return age_s > fraction * bound_s
 
     def _apply_changes(self, facts: Iterable[Fact], revision: int) -> None:
         newer = [fact for fact in facts if fact.revision > self.revision]
@@ -240,7 +274,12 @@
 
     def _on_store_lost(self, reason: str) -> None:
         now_s = self._context.now_s()
-        if self._lost_since_s is None:
+        self._failures = min(self._failures + 1, MAX_FAILURES)
+        self._failed_s = now_s
+        self._retry_spread = 0.5 + self._context.environment.random.random()
+        # A host that the store refuses may still learn from its zone.
+        newly_lost = self._failures == 1 or self._is_staler_than(1.0)
+        if self._lost_since_s is None and newly_lost:
             self._lost_since_s = now_s
             self._context.metrics.count('store_lost')
             self._context.log.warn(
@@ -250,16 +289,9 @@
                     now_s - self._context.registry_confirmed_s,
                 ),
             )
-        spread = 0.5 + self._context.environment.random.random()
-        delay_s = self._retry_s * spread
-        max_retry_s = MAX_RETRY_S
-        if self._schedule().max_staleness_s:
-            max_retry_s = MAX_FOLLOWER_RETRY_S
-        self._retry_s = min(self._retry_s * 2, max_retry_s)
-        self._schedule_poll(delay_s)
+        self._schedule_poll(0)
 
     def _on_store_regained(self, revision: int) -> None:
-        self._retry_s = INITIAL_RETRY_S
         if self._lost_since_s is None:
             return
         now_s = self._context.now_s()
@@ -286,6 +318,7 @@
         )
         self._apply_changes((*facts, *gone), revision)
         self.complete = True
+        self._rollouts.following = True
 
     def _apply(self, facts: Iterable[Fact]) -> None:
         for fact in facts:
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -70,6 +70,7 @@
         """List this host and start publishing."""
         self._rollouts = rollouts
         self._discovery = discovery
+        discovery.on_regained = self._publish_store_update
         self._context.loop.scheduler.call_every(PUBLISH_PERIOD_S, self._publish)
         self.members.start()
 
--- a/bamboodeck/gateway/peer_link.py
+++ b/bamboodeck/gateway/peer_link.py
@@ -42,6 +42,8 @@
         self._started_unix_ms = int(environment.wall_s() * 1000)
         self._sent = 0
         self._newest: dict[tuple[str, type], tuple[int, int]] = {}
+        # The incarnations of hosts that were replaced by later ones.
+        self._replaced: dict[str, set[int]] = {}
         self._handlers: dict[type, MessageHandler] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
@@ -77,6 +79,7 @@
         for key in tuple(self._newest):
             if key[0] == host:
                 self._newest.pop(key)
+        self._replaced.pop(host, None)
 
     def close(self) -> None:
         """Close the socket."""
@@ -101,12 +104,24 @@
         handler = self._handlers.get(type(envelope.message))
         if handler is None or envelope.host == self._host:
             return
+        if self._is_newest(envelope):
+            handler(envelope.host, envelope.message)
+
+    def _is_newest(self, envelope: Envelope) -> bool:
+        # The start time only names an incarnation: a host's clock may have
+        # been set back before it started again.
         key = (envelope.host, type(envelope.message))
-        sequence = (envelope.started_unix_ms, envelope.number)
-        if sequence <= self._newest.get(key, (0, 0)):
-            return
-        self._newest[key] = sequence
-        handler(envelope.host, envelope.message)
+        started_unix_ms, number = self._newest.get(key, (0, 0))
+        replaced = self._replaced.setdefault(envelope.host, set())
+        if envelope.started_unix_ms in replaced:
+            return False
+        if envelope.started_unix_ms == started_unix_ms:
+            if envelope.number <= number:
+                return False
+        elif started_unix_ms:
+            replaced.add(started_unix_ms)
+        self._newest[key] = (envelope.started_unix_ms, envelope.number)
+        return True
 
 
 def _ignore() -> None:
--- a/bamboodeck/gateway/rollout_coordinator.py
+++ b/bamboodeck/gateway/rollout_coordinator.py
@@ -30,9 +30,11 @@
     Written,
 )
 from bamboodeck.gateway.rollouts import (
+    LAST_STEP,
     SlowRatio,
     VersionChoice,
     choose_version,
+    clamp_elapsed_s,
     is_bad,
     is_complete,
     is_in_share,
@@ -52,8 +54,9 @@
 SESSION_SYNC_S = 2.5
 # Sessions are announced repeatedly, since messages may be lost.
 ANNOUNCEMENTS_PER_SESSION = 3
-# Delay before an unanswered write is retried.
+# Delay before a write is retried, doubled by each failure.
 WRITE_RETRY_S = 0.6
+MAX_WRITE_RETRY_S = 4.8
 
 _TERMINAL = frozenset((RolloutState.COMPLETED, RolloutState.ROLLED_BACK))
 
@@ -70,7 +73,12 @@
 
     order: RolloutOrder
     order_revision: int
+    # By the clock of the host that wrote the first step.
     began_unix_s: float
+    # By this host's monotonic clock, as the time of day may jump.
+    began_s: float
+    # The order was there before this process.
+    learned_late: bool = False
     step: int = 0
     step_revision: int = 0
     step_version: str = ''
@@ -86,6 +94,8 @@
     due_since_s: float | None = None
     due: tuple[int, RolloutState | None] | None = None
     written_s: float = 0.0
+    # Writes in a row that did not succeed.
+    failed_writes: int = 0
 
     @property
     def ended(self) -> bool:
@@ -104,6 +114,8 @@
     ) -> None:
         """Start without roll-outs; `find_rank` returns this host's rank."""
         self.evidence = Evidence()
+        # Whether orders are seen as they are written.
+        self.following = False
         self._context = context
         self._registry = registry
         self._find_rank = find_rank
@@ -151,6 +163,8 @@
             order,
             fact.revision,
             self._context.environment.wall_s(),
+            now_s,
+            learned_late=not self.following,
             trial_begins_s=now_s + SESSION_SYNC_S,
         )
         self._rollouts[order.service] = rollout
@@ -194,6 +208,14 @@
             return
         rollout.step = max(rollout.step, fact.step.step)
         rollout.began_unix_s = fact.step.began_unix_s
+        if rollout.learned_late:
+            wall_s = self._context.environment.wall_s()
+            elapsed_s = clamp_elapsed_s(
+                wall_s - rollout.began_unix_s,
+                min(rollout.step, LAST_STEP),
+                rollout.order.duration_s,
+            )
+            rollout.began_s = self._context.now_s() - elapsed_s
         self._log_moved(rollout, fact.revision)
 
     def choose(
@@ -336,12 +358,17 @@
         if due is None or due != rollout.due:
             rollout.due = due
             rollout.due_since_s = now_s
+            rollout.failed_writes = 0
             if due is None:
                 return
         rank = min(self._find_rank(), MAX_WRITER_RANK)
         if now_s - rollout.due_since_s < rank * WRITER_STAGGER_S:
             return
-        if now_s - rollout.written_s < WRITE_RETRY_S:
+        retry_s = min(
+            WRITE_RETRY_S * 2**rollout.failed_writes,
+            MAX_WRITE_RETRY_S,
+        )
+        if now_s - rollout.written_s < retry_s:
             return
         rollout.written_s = now_s
         self._write(rollout, *due)
@@ -354,7 +381,7 @@
             return (rollout.step, RolloutState.ROLLED_BACK)
         if rollout.state is None:
             return (rollout.step, RolloutState.RUNNING)
-        elapsed_s = self._context.environment.wall_s() - rollout.began_unix_s
+        elapsed_s = self._context.now_s() - rollout.began_s
         duration_s = rollout.order.duration_s
         if is_complete(rollout.step, elapsed_s, duration_s):
             return (rollout.step, RolloutState.COMPLETED)
@@ -382,7 +409,9 @@
                     type(reply).__name__,
                 ),
             )
-            if isinstance(reply, Written) and state is not None:
+            if not isinstance(reply, Written):
+                rollout.failed_writes += 1
+            elif state is not None:
                 self.apply_status(
                     RolloutStatusListed(
                         order.service,
--- a/bamboodeck/gateway/rollouts.py
+++ b/bamboodeck/gateway/rollouts.py
@@ -17,6 +17,7 @@
 # versions only in the second half.
 STEP_SHARES = (0.08, 0.3, 0.6, 1.0)
 STEP_START_FRACTIONS = (0.0, 0.54, 0.62, 0.7)
+LAST_STEP = len(STEP_SHARES) - 1
 # Old engines are stopped at completion, so their streams need time to end.
 COMPLETION_FRACTION = 0.9
 # A version is bad if its failures are better explained by the baseline rate
@@ -78,10 +79,16 @@
     )
 
 
+def clamp_elapsed_s(elapsed_s: float, step: int, duration_s: float) -> float:
+    """Limit an elapsed time to that in which a step is the newest one."""
+    starts = (*STEP_START_FRACTIONS, 1.0)
+    latest = starts[min(step + 1, len(starts) - 1)] * duration_s
+    return max(min(elapsed_s, latest), starts[step] * duration_s)
+
+
 def is_complete(step: int, elapsed_s: float, duration_s: float) -> bool:
     """Tell whether all sessions have used the new version long enough."""
-    last = len(STEP_SHARES) - 1
-    return step >= last and elapsed_s >= duration_s * COMPLETION_FRACTION
+    return step >= LAST_STEP and elapsed_s >= duration_s * COMPLETION_FRACTION
 
 
 def is_in_share(key: str, version: str, share: float) -> bool:
--- a/bamboodeck/gateway/store_polling.py
+++ b/bamboodeck/gateway/store_polling.py
@@ -2,9 +2,10 @@
 
 Load pattern: many hosts follow one store, and each call is billed. In a larger
 zone the host of the lowest rank polls often and publishes the changes. The
-others poll only once their state is stale, the second host first. If the store
-or the polling host stops responding, each host polls by itself within the time
-in which changes have to be in force.
+others poll only once their state is stale, one after the other by rank, and
+tell the zone what they read. So a zone finds out within the time in which
+changes have to be in force whether the store serves any of its hosts, and while
+it serves none, the zone's calls are bounded, however many hosts it has.
 """
 
 from collections import deque
@@ -31,12 +32,24 @@
 SHARED_WAIT_FRACTION = 0.25
 # Longer than the first host's wait and its publishing period together.
 SECOND_STALENESS_FRACTION = 0.45
-STALENESS_FRACTION_PER_RANK = 0.075
-MAX_STAGGERED_RANK = 3
+THIRD_STALENESS_FRACTION = 0.525
+# The other hosts follow at even distances, the last one at this fraction. An
+# answer takes milliseconds and is published at once, so that the next host
+# usually learns of it before its own turn.
+LAST_STALENESS_FRACTION = 0.9
+MAX_STALENESS_STEP = 0.03
+# Backoff of a host whose calls fail.
+INITIAL_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
+# While the store is away, the hosts of a zone other than the first one together
+# make one call in this period.
+ZONE_RETRY_PERIOD_S = 1.0
 # A store that stopped responding forgets waiting calls. This margin lets such a
 # call time out before the host has to follow the store again.
 ANSWER_SLACK_S = 1.0
 MIN_WAIT_S = 0.5
+# A host whose state is stale needs an answer before the next host polls too.
+STALE_WAIT_S = 0.001
 # Changes are published repeatedly for this long, since messages may be lost.
 RESEND_S = 1.0
 # More changes would congest the slowest links: about 250 B each, to a dozen
@@ -60,8 +73,8 @@
     wait_s: float
     # Age of the known state at which the host polls.
     max_staleness_s: float
-    # Whether the host publishes changes to its zone.
-    shares: bool
+    # How long after an answer the host publishes it to its zone; 0 if never.
+    publish_s: float
 
 
 def build_schedule(rank: ZoneRank, bounds: Bounds) -> PollSchedule:
@@ -72,22 +85,44 @@
             pause_s=UNSHARED_PAUSE_FRACTION * bound_s,
             wait_s=max(bounds.stability_s - ANSWER_SLACK_S, MIN_WAIT_S),
             max_staleness_s=0.0,
-            shares=False,
-        )
-    staleness_fraction = 0.0
-    if rank.rank:
-        later = min(rank.rank, MAX_STAGGERED_RANK) - 1
-        staleness_fraction = (
-            SECOND_STALENESS_FRACTION + STALENESS_FRACTION_PER_RANK * later
+            publish_s=0.0,
         )
+    shared_wait_s = max(SHARED_WAIT_FRACTION * bound_s, MIN_WAIT_S)
     return PollSchedule(
         pause_s=SHARED_PAUSE_FRACTION * bound_s,
-        wait_s=max(SHARED_WAIT_FRACTION * bound_s, MIN_WAIT_S),
-        max_staleness_s=staleness_fraction * bound_s,
-        shares=True,
+        wait_s=STALE_WAIT_S if rank.rank else shared_wait_s,
+        max_staleness_s=_find_staleness_fraction(rank) * bound_s,
+        publish_s=2 * shared_wait_s,
     )
 
 
+def _find_staleness_fraction(rank: ZoneRank) -> float:
+    match rank.rank:
+        case 0:
+            return 0.0
+        case 1:
+            return SECOND_STALENESS_FRACTION
+    span = LAST_STALENESS_FRACTION - THIRD_STALENESS_FRACTION
+    step = min(span / (rank.hosts - 2), MAX_STALENESS_STEP)
+    return THIRD_STALENESS_FRACTION + step * (rank.rank - 2)
+
+
+def find_retry_delay_s(
+    rank: ZoneRank,
+    failures: int,
+    *,
+    zone_served: bool,
+) -> float:
+    """Return the mean delay in seconds after failed calls in a row.
+
+    With `zone_served`, the store serves another host of the zone.
+    """
+    delay_s = min(INITIAL_RETRY_S * 2 ** (failures - 1), MAX_RETRY_S)
+    if zone_served or rank.rank == 0 or rank.hosts < MIN_SHARING_HOSTS:
+        return delay_s
+    return max(delay_s, ZONE_RETRY_PERIOD_S * (rank.hosts - 1))
+
+
 class StoreView(msgspec.Struct, frozen=True):
     """Hold the revision up to which a host knows the store."""
 
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -113,7 +113,7 @@
         harness.store.freeze_stale_reads()
         harness.store.put(protocol.CONFIGURATION_KEY, build_configuration(2))
         harness.store.remove(f'{protocol.ENGINE_PREFIX}shop-1')
-        app = harness.start_host('host-2')
+        app = harness.start_host('host-2', first_start=True)
         harness.until(
             lambda: (
                 app.context.configuration is not None
@@ -122,6 +122,29 @@
         )
         harness.until_engines(1)
 
+    def test_restart(
+        self,
+        harness: GatewayHarness,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Use no key or engine that was withdrawn before a restart."""
+        harness.store.freeze_stale_reads()
+        harness.store.put(
+            protocol.CONFIGURATION_KEY,
+            build_configuration(2, tenants=[]),
+        )
+        harness.store.remove(f'{protocol.ENGINE_PREFIX}shop-1')
+        # The store doesn't answer further calls soon enough.
+        monkeypatch.setattr(
+            store.PlatformStore,
+            'watch',
+            lambda *_arguments: None,
+        )
+        app = harness.start_host('host-2')
+        assert harness.ask(PAY, app=1).status == 401
+        known = [each.entry.engine_id for each in app.context.engines]
+        assert known == ['model-1']
+
     def test_first_callers(self, harness: GatewayHarness) -> None:
         """Answer callers that connected before the configuration was read."""
         harness.start_host('host-2')
--- /dev/null
+++ b/tests/gateway/test_store_outage.py
@@ -0,0 +1,86 @@
+"""Test what a zone's hosts ask of a store that is away."""
+
+import pytest
+
+from bamboodeck.gateway.model import Bounds
+from tests.gateway.virtual_zone import SILENT_S, VirtualZone
+
+BOUNDS = Bounds(drain_s=5.0, configuration_s=5.0, stability_s=5.0)
+ZONE_SIZES = [1, 6, 30, 200]
+# Calls of a zone in a second while the store is away: one of the first host
+# and one of the others, each spread by half.
+MAX_AWAY_CALLS_PER_S = 3.0
+SETTLE_S = 12.0
+
+
+def start_zone(hosts: int) -> VirtualZone:
+    """Run a zone until its hosts share their polls."""
+    zone = VirtualZone(hosts, BOUNDS)
+    zone.clock.run(SETTLE_S)
+    return zone
+
+
+class TestStoreAway:
+    """Bound the calls of a zone, however many hosts it has."""
+
+    @pytest.mark.parametrize('failure_s', [0.01, SILENT_S])
+    @pytest.mark.parametrize('hosts', ZONE_SIZES)
+    def test_first_seconds(self, hosts: int, failure_s: float) -> None:
+        """Have each host ask once at most before the zone asks in turn."""
+        zone = start_zone(hosts)
+        zone.failure_s = failure_s
+        zone.serves = lambda rank: False
+        first_host_calls = 10
+        assert zone.calls_within(10.0) <= hosts + first_host_calls + 10
+
+    @pytest.mark.parametrize('hosts', ZONE_SIZES)
+    def test_long(self, hosts: int) -> None:
+        """Ask at a fixed rate during the rest of an outage."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: False
+        zone.clock.run(10.0)
+        assert zone.calls_within(30.0) <= 30.0 * MAX_AWAY_CALLS_PER_S
+
+    @pytest.mark.parametrize('hosts', ZONE_SIZES)
+    def test_return(self, hosts: int) -> None:
+        """Learn of the return within two seconds, and by few calls."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: False
+        zone.clock.run(20.0)
+        zone.put_change()
+        zone.serves = lambda rank: True
+        calls = zone.calls_within(2.0)
+        assert zone.knowing() == hosts
+        assert calls <= 2 * MAX_AWAY_CALLS_PER_S + 10
+
+
+class TestSomeRefused:
+    """Learn from the hosts of the zone that the store serves."""
+
+    @pytest.mark.parametrize('hosts', [6, 30, 200])
+    @pytest.mark.parametrize('served_from', [1, 3])
+    def test_first_refused(self, hosts: int, served_from: int) -> None:
+        """Follow within the bound, though the store refuses the first ones."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: rank >= served_from
+        for _ in range(6):
+            zone.clock.run(2.0)
+            zone.put_change()
+            zone.clock.run(min(BOUNDS.drain_s, BOUNDS.configuration_s))
+            assert zone.knowing() == hosts
+
+    @pytest.mark.parametrize('hosts', [6, 30, 200])
+    def test_calls(self, hosts: int) -> None:
+        """Don't ask anew at each news of a neighbour that is served."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: rank % 3 != 0
+        assert zone.calls_within(20.0) <= 20.0 * MAX_AWAY_CALLS_PER_S + 10
+
+    @pytest.mark.parametrize('hosts', [6, 30, 200])
+    def test_last_served(self, hosts: int) -> None:
+        """Find the only host that is served within the bound."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: rank == hosts - 1
+        zone.put_change()
+        zone.clock.run(BOUNDS.drain_s)
+        assert zone.knowing() == hosts
--- /dev/null
+++ b/tests/gateway/virtual_zone.py
@@ -0,0 +1,205 @@
+"""Run the store polling of a whole zone on a virtual clock."""
+
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+
+from bamboodeck.gateway.discovery import Discovery
+from bamboodeck.gateway.engines import EngineTable
+from bamboodeck.gateway.fleet import PUBLISH_PERIOD_S
+from bamboodeck.gateway.measures import GatewayMetrics
+from bamboodeck.gateway.model import Bounds
+from bamboodeck.gateway.ports import (
+    EngineUnlisted,
+    Fact,
+    RegistryFailed,
+    RegistryReply,
+    Snapshot,
+    Update,
+)
+from bamboodeck.gateway.store_polling import ZoneRank
+from tests.virtual_store import VirtualClock
+
+ANSWER_S = 0.01
+MESSAGE_S = 0.001
+SILENT_S = 2.0
+OnReply = Callable[[RegistryReply], None]
+
+
+class CancellableCall:
+    """Hold a scheduled callback."""
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        """Start uncancelled."""
+        self._callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Don't run the callback."""
+        self._callback = None
+
+    def run(self) -> None:
+        """Run the callback unless it was cancelled."""
+        if self._callback is not None:
+            self._callback()
+
+
+class VirtualRegistry:
+    """Answer one host's calls for the store of its zone."""
+
+    def __init__(self, zone: 'VirtualZone', rank: int) -> None:
+        """Start without calls."""
+        self._zone = zone
+        self._rank = rank
+
+    def read_all(self, on_reply: OnReply, *, stale: bool = False) -> None:
+        """Return an empty snapshot."""
+        self._answer(on_reply, lambda: Snapshot((), self._zone.revision))
+
+    def wait_for_changes(
+        self,
+        after_revision: int,
+        wait_s: float,
+        on_reply: OnReply,
+    ) -> None:
+        """Return the changes after a revision, or none after `wait_s`."""
+        zone = self._zone
+
+        def build() -> RegistryReply:
+            return Update(zone.changes_after(after_revision), zone.revision)
+
+        due = zone.revision > after_revision
+        self._answer(on_reply, build, 0.0 if due else wait_s)
+
+    def _answer(
+        self,
+        on_reply: OnReply,
+        build: Callable[[], RegistryReply],
+        wait_s: float = 0.0,
+    ) -> None:
+        zone = self._zone
+        zone.count_call()
+        if not zone.serves(self._rank):
+            failed = RegistryFailed('refused')
+            zone.clock.call_after(zone.failure_s, lambda: on_reply(failed))
+            return
+
+        def finish() -> None:
+            # A store that went away forgets the calls that wait.
+            if zone.serves(self._rank):
+                on_reply(build())
+            else:
+                zone.clock.call_after(
+                    zone.failure_s,
+                    lambda: on_reply(RegistryFailed('lost')),
+                )
+
+        zone.clock.call_after(ANSWER_S + wait_s, finish)
+
+
+class VirtualZone:
+    """Hold the hosts of a zone, which poll the store and tell each other."""
+
+    def __init__(self, hosts: int, bounds: Bounds, seed: int = 1) -> None:
+        """Start all hosts, following a store that serves all of them."""
+        self.clock = VirtualClock(1000.0)
+        self.revision = 1
+        self.serves: Callable[[int], bool] = lambda rank: True
+        self.failure_s = ANSWER_S
+        self.calls: list[float] = []
+        self._random = Random(seed)
+        self._changes: list[Fact] = []
+        self.contexts: list[SimpleNamespace] = []
+        self.discoveries: list[Discovery] = []
+        for rank in range(hosts):
+            self._add_host(rank, hosts, bounds)
+
+    def put_change(self) -> None:
+        """Change the store."""
+        self.revision += 1
+        self._changes.append(
+            EngineUnlisted(f'engine-{self.revision}', 'gone', self.revision),
+        )
+
+    def changes_after(self, revision: int) -> tuple[Fact, ...]:
+        """Return the changes after a revision."""
+        return tuple(each for each in self._changes if each.revision > revision)
+
+    def count_call(self) -> None:
+        """Record a call to the store."""
+        self.calls.append(self.clock.now_s)
+
+    def calls_within(self, duration_s: float) -> int:
+        """Run for a duration and return the calls made in it."""
+        before = len(self.calls)
+        self.clock.run(duration_s)
+        return len(self.calls) - before
+
+    def knowing(self) -> int:
+        """Return how many hosts know the newest revision."""
+        return sum(each.revision == self.revision for each in self.discoveries)
+
+    def _add_host(self, rank: int, hosts: int, bounds: Bounds) -> None:
+        context = self._build_context(bounds)
+        discovery = Discovery(
+            context,
+            VirtualRegistry(self, rank),
+            SimpleNamespace(apply=lambda fact: None),
+            lambda fact: None,
+            lambda: None,
+            lambda: ZoneRank(rank, hosts),
+        )
+        self.contexts.append(context)
+        self.discoveries.append(discovery)
+        discovery.on_regained = lambda: self._publish(rank)
+        self.clock.call_after(self._random.uniform(0, 0.3), discovery.start)
+        self._publish_later(rank)
+
+    def _build_context(self, bounds: Bounds) -> SimpleNamespace:
+        clock = self.clock
+
+        def call_after(
+            delay_s: float,
+            callback: Callable[[], None],
+        ) -> CancellableCall:
+            scheduled = CancellableCall(callback)
+            clock.call_after(delay_s, scheduled.run)
+            return scheduled
+
+        log = SimpleNamespace(emit=lambda event: None, warn=lambda event: None)
+        return SimpleNamespace(
+            settings=SimpleNamespace(bounds=bounds, first_start=False),
+            environment=SimpleNamespace(random=self._random),
+            loop=SimpleNamespace(
+                scheduler=SimpleNamespace(call_after=call_after),
+            ),
+            metrics=GatewayMetrics(),
+            log=log,
+            engines=EngineTable(),
+            registry_confirmed_s=clock.now_s,
+            now_s=clock.read_s,
+        )
+
+    def _publish_later(self, rank: int) -> None:
+        delay_s = PUBLISH_PERIOD_S * self._random.uniform(0.95, 1.05)
+
+        def publish() -> None:
+            self._publish(rank)
+            self._publish_later(rank)
+
+        self.clock.call_after(delay_s, publish)
+
+    def _publish(self, rank: int) -> None:
+        message = self.discoveries[rank].build_update()
+        if message is None:
+            return
+        others = [
+            discovery
+            for other, discovery in enumerate(self.discoveries)
+            if other != rank
+        ]
+
+        def deliver() -> None:
+            for discovery in others:
+                discovery.apply_update(message)
+
+        self.clock.call_after(MESSAGE_S, deliver)
