Have hosts that are behind ask their zone, not the store

Cause: after more than 32 changes in a second, an update named only the newest revision, and each host of the zone read the store on each such update.

Change: a host that lacks changes asks the publisher, which keeps ten seconds of them and answers this host alone. Only after 0.6 s does it read the store, and never within the delay after its own failure.

Ruled out: larger updates for all, which would fill links of 5 Mbit/s.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -40,6 +40,7 @@
 )
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
 from bamboodeck.gateway.store_polling import (
+    CATCH_UP_S,
     SECOND_STALENESS_FRACTION,
     ChangeLog,
     PollSchedule,
@@ -100,6 +101,7 @@
         self._failures = 0
         self._failed_s = 0.0
         self._retry_spread = 1.0
+        self._behind_since_s: float | None = None
         self._missing: dict[str, EngineUnlisted] = {}
 
     def start(self) -> None:
@@ -120,27 +122,38 @@
             return None
         if now_s - self._last_reply_s > schedule.publish_s:
             return None
-        return self._changes.build_update(
-            StoreView(
-                self.revision,
-                self._configuration_revision,
-                self._last_reply_s,
-                self._relist_until_s,
-            ),
-            now_s,
+        return self._changes.build_update(self._view(), now_s)
+
+    def build_answer(self, after_revision: int) -> StoreUpdate | None:
+        """Return the changes that a host of the zone asks for, if kept."""
+        return self._changes.build_answer(
+            self._view(),
+            after_revision,
+            self._context.now_s(),
         )
 
-    def apply_update(self, message: StoreUpdate) -> None:
-        """Apply the changes that a host of the zone read from the store."""
+    def apply_update(self, message: StoreUpdate) -> bool:
+        """Apply the changes that a host of the zone read from the store.
+
+        Return whether this host lacks earlier changes.
+        """
         if not self.complete or message.revision < self.revision:
-            return
+            return False
+        now_s = self._context.now_s()
         if message.after_revision > self.revision:
-            self._poll()
-            return
+            if self._behind_since_s is None:
+                self._behind_since_s = now_s
+            if now_s - self._behind_since_s > CATCH_UP_S:
+                self._poll_unless_failing()
+            return True
+        self._behind_since_s = None
         if message.configuration_revision > self._configuration_revision:
             self._read_configuration(message.configuration_revision)
-            return
-        now_s = self._context.now_s()
+            return False
+        self._apply_news(message, now_s)
+        return False
+
+    def _apply_news(self, message: StoreUpdate, now_s: float) -> None:
         if self._lost_since_s is not None:
             self._on_store_regained(message.revision)
         self._relist_until_s = max(
@@ -154,6 +167,18 @@
             now_s - message.age_ms / _MILLISECONDS_PER_S,
         )
 
+    def _view(self) -> StoreView:
+        return StoreView(
+            self.revision,
+            self._configuration_revision,
+            self._last_reply_s,
+            self._relist_until_s,
+        )
+
+    def _poll_unless_failing(self) -> None:
+        if not self._failures or self._context.now_s() >= self._find_due_s():
+            self._poll()
+
     def _on_first_reply(self, reply: RegistryReply) -> None:
         self._polling = False
         match reply:
@@ -165,13 +190,18 @@
                 self._on_store_lost(reason)
 
     def _read_configuration(self, wanted_revision: int) -> None:
-        if self._polling:
+        now_s = self._context.now_s()
+        if self._polling or (self._failures and now_s < self._find_due_s()):
             return
 
         def on_reply(reply: RegistryReply) -> None:
             self._polling = False
-            if isinstance(reply, Snapshot):
-                self._apply(reply.facts)
+            match reply:
+                case Snapshot(facts=facts):
+                    self._apply(facts)
+                case RegistryFailed(reason=reason):
+                    self._on_store_lost(reason)
+                    return
             if self._configuration_revision < wanted_revision:
                 # The configuration read is older than the one a peer knows.
                 self._poll()
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -22,6 +22,7 @@
     HostUpdate,
     SessionNotice,
     SessionUpdate,
+    StoreQuery,
     StoreUpdate,
     ZoneUpdate,
 )
@@ -63,6 +64,7 @@
         self._publish_count = 0
         self.link.handle(HostUpdate, self._on_host_update)
         self.link.handle(StoreUpdate, self._on_store_update)
+        self.link.handle(StoreQuery, self._on_store_query)
         self.link.handle(SessionUpdate, self._on_session_update)
         self.link.handle(ZoneUpdate, self._on_zone_update)
 
@@ -243,8 +245,20 @@
             )
 
     def _on_store_update(self, host: str, message: StoreUpdate) -> None:
-        if self._discovery is not None and host in self.members.peers:
-            self._discovery.apply_update(message)
+        peer = self.members.peers.get(host)
+        if self._discovery is None or peer is None:
+            return
+        if self._discovery.apply_update(message):
+            query = StoreQuery(self._discovery.revision)
+            self.link.send(query, [peer.address])
+
+    def _on_store_query(self, host: str, message: StoreQuery) -> None:
+        peer = self.members.peers.get(host)
+        if self._discovery is None or peer is None:
+            return
+        answer = self._discovery.build_answer(message.after_revision)
+        if answer is not None:
+            self.link.send(answer, [peer.address])
 
     def _on_session_update(self, host: str, message: SessionUpdate) -> None:
         self._forward_to_zone(host, message)
--- a/bamboodeck/gateway/peer_messages.py
+++ b/bamboodeck/gateway/peer_messages.py
@@ -104,7 +104,13 @@
     facts: tuple[ShareableFact, ...] = ()
 
 
-PeerMessage = HostUpdate | ZoneUpdate | SessionUpdate | StoreUpdate
+class StoreQuery(msgspec.Struct, frozen=True, array_like=True, tag='behind'):
+    """Ask a host of the zone for the changes after a revision."""
+
+    after_revision: int
+
+
+PeerMessage = HostUpdate | ZoneUpdate | SessionUpdate | StoreUpdate | StoreQuery
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/bamboodeck/gateway/store_polling.py
+++ b/bamboodeck/gateway/store_polling.py
@@ -52,9 +52,17 @@
 STALE_WAIT_S = 0.001
 # Changes are published repeatedly for this long, since messages may be lost.
 RESEND_S = 1.0
-# More changes would congest the slowest links: about 250 B each, to a dozen
-# hosts, four times, over 5 Mbit/s. Hosts read them from the store instead.
+# More changes, published repeatedly to all hosts, would congest the slowest
+# links: about 250 B each, to a dozen hosts, four times, over 5 Mbit/s. Hosts
+# ask for them instead.
 MAX_SHARED_FACTS = 32
+# Changes are kept this long for hosts that ask.
+KEEP_S = 10.0
+# What fits a datagram at 250 B each.
+MAX_REQUESTED_FACTS = 200
+# A host that is behind reads from the store if its zone doesn't help in this
+# time, about two publishing periods.
+CATCH_UP_S = 0.6
 
 
 class ZoneRank(msgspec.Struct, frozen=True):
@@ -168,19 +176,55 @@
         now_s: float,
     ) -> StoreUpdate:
         """Return the update to publish to the zone."""
-        while self._batches and self._batches[0].recorded_s < now_s - RESEND_S:
+        while self._batches and self._batches[0].recorded_s < now_s - KEEP_S:
             self._batches.popleft()
-        after_revision = known.revision
-        facts = tuple(fact for each in self._batches for fact in each.facts)
-        if len(facts) > MAX_SHARED_FACTS:
-            facts = ()
-        elif self._batches:
-            after_revision = self._batches[0].after_revision
-        return StoreUpdate(
-            after_revision=after_revision,
-            revision=known.revision,
-            configuration_revision=known.configuration_revision,
-            age_ms=int((now_s - known.last_reply_s) * 1000),
-            relist_ms=max(int((known.relist_until_s - now_s) * 1000), 0),
-            facts=facts,
-        )
+        recent = [
+            batch
+            for batch in self._batches
+            if batch.recorded_s >= now_s - RESEND_S
+        ]
+        facts = _join_facts(recent)
+        if not recent or len(facts) > MAX_SHARED_FACTS:
+            return _build_message(known, now_s, known.revision, ())
+        return _build_message(known, now_s, recent[0].after_revision, facts)
+
+    def build_answer(
+        self,
+        known: StoreView,
+        after_revision: int,
+        now_s: float,
+    ) -> StoreUpdate | None:
+        """Return the changes after a revision, if all of them are kept."""
+        for number, batch in enumerate(self._batches):
+            if batch.after_revision > after_revision:
+                return None
+            following = list(self._batches)[number:]
+            if len(following) > 1 and (
+                following[1].after_revision <= after_revision
+            ):
+                continue
+            facts = _join_facts(following)
+            if len(facts) > MAX_REQUESTED_FACTS:
+                return None
+            return _build_message(known, now_s, batch.after_revision, facts)
+        return None
+
+
+def _join_facts(batches: Iterable[_Batch]) -> tuple[Fact, ...]:
+    return tuple(fact for batch in batches for fact in batch.facts)
+
+
+def _build_message(
+    known: StoreView,
+    now_s: float,
+    after_revision: int,
+    facts: tuple[Fact, ...],
+) -> StoreUpdate:
+    return StoreUpdate(
+        after_revision=after_revision,
+        revision=known.revision,
+        configuration_revision=known.configuration_revision,
+        age_ms=int((now_s - known.last_reply_s) * 1000),
+        relist_ms=max(int((known.relist_until_s - now_s) * 1000), 0),
+        facts=facts,
+    )
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -84,3 +84,22 @@
         zone.put_change()
         zone.clock.run(BOUNDS.drain_s)
         assert zone.knowing() == hosts
+
+
+class TestManyChanges:
+    """Take many changes at once from the zone, not from the store."""
+
+    @pytest.mark.parametrize('hosts', [6, 30, 200])
+    @pytest.mark.parametrize('refused_every', [0, 3])
+    def test_release(self, hosts: int, refused_every: int) -> None:
+        """Follow a release of many engines by few calls of the zone."""
+        zone = start_zone(hosts)
+        if refused_every:
+            zone.serves = lambda rank: rank % refused_every > 0
+        calls = 0
+        for _ in range(3):
+            for _ in range(60):
+                zone.put_change()
+            calls += zone.calls_within(BOUNDS.drain_s)
+            assert zone.knowing() == hosts
+        assert calls <= 3 * BOUNDS.drain_s * MAX_AWAY_CALLS_PER_S + 10
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -200,6 +200,15 @@
 
         def deliver() -> None:
             for discovery in others:
-                discovery.apply_update(message)
+                if discovery.apply_update(message):
+                    self._ask(discovery, self.discoveries[rank])
 
         self.clock.call_after(MESSAGE_S, deliver)
+
+    def _ask(self, behind: Discovery, publisher: Discovery) -> None:
+        def answer() -> None:
+            message = publisher.build_answer(behind.revision)
+            if message is not None:
+                behind.apply_update(message)
+
+        self.clock.call_after(2 * MESSAGE_S, answer)
