Fail a soak whose own faults fail

Cause: an error in a fault injector was logged, the next fault never came, and the run passed. Ports for tests were probed for TCP only, though hosts exchange datagrams.

Change: errors that leave a handler of the soak's loop, and a run without any fault, are violations; the following faults are still injected. Ports are probed for both protocols.

--- a/bamboodeck/bench/gateway_soak/checks.py
+++ b/bamboodeck/bench/gateway_soak/checks.py
@@ -83,6 +83,7 @@
         Violation('recovery', '', failure)
         for failure in record.recovery_failures
     )
+    found.extend(Violation('soak', '', error) for error in record.soak_errors)
     return found
 
 
--- a/bamboodeck/bench/gateway_soak/faults.py
+++ b/bamboodeck/bench/gateway_soak/faults.py
@@ -229,7 +229,12 @@
     def _inject(self) -> None:
         if self._stopped:
             return
-        self._random.choice(self._faults)()
+        try:
+            self._random.choice(self._faults)()
+        except Exception:
+            # The error fails the run; the other faults are still injected.
+            self._schedule_next()
+            raise
         self._schedule_next()
 
     def _terminate_host(self, host: str, signal_number: signal.Signals) -> None:
--- a/bamboodeck/bench/gateway_soak/record.py
+++ b/bamboodeck/bench/gateway_soak/record.py
@@ -122,6 +122,8 @@
     fault_counts: dict[str, int] = msgspec.field(default_factory=dict)
     # Failed or unfinished requests at the end of the run.
     recovery_failures: list[str] = msgspec.field(default_factory=list)
+    # Errors of the soak itself, such as a fault that wasn't injected.
+    soak_errors: list[str] = msgspec.field(default_factory=list)
     trace: list[str] = msgspec.field(default_factory=list)
 
     def record_stall(self, from_s: float, until_s: float) -> None:
--- a/bamboodeck/bench/gateway_soak/run.py
+++ b/bamboodeck/bench/gateway_soak/run.py
@@ -172,6 +172,9 @@
             for engine in engines
             for run in engine.runs
         ]
+        self.record.soak_errors.extend(self._loop.handler_errors)
+        if not self.record.fault_counts:
+            self.record.soak_errors.append('no fault was injected')
         statuses = Counter(
             str(request.status or 'none') for request in self.record.requests
         )
--- a/bamboodeck/loop/program.py
+++ b/bamboodeck/loop/program.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from collections import deque
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
@@ -12,6 +13,8 @@
 from bamboodeck.loop.poller import CallbackPoller
 from bamboodeck.loop.scheduler import Scheduler
 
+MAX_HANDLER_ERRORS = 20
+
 
 class Loop(BaseComponent):
     """Own the poller and the scheduler of a process."""
@@ -24,6 +27,8 @@
         self.environment = environment
         self.poller = CallbackPoller().register(self)
         self.scheduler = Scheduler(environment.monotonic_s).register(self)
+        # Errors that left a handler, for programs that check themselves.
+        self.handler_errors: deque[str] = deque(maxlen=MAX_HANDLER_ERRORS)
         self._on_stop: Callable[[], None] | None = None
         self._on_reload: Callable[[], None] | None = None
 
@@ -58,6 +63,7 @@
         """Log an unhandled exception of a handler to the error stream."""
         _, error, trace = failure[:3]
         lines = trace if isinstance(trace, list) else [str(trace)]
+        self.handler_errors.append(repr(error))
         self.environment.stderr.write(
             'event=handler_failed error={0!r} trace={1!r}\n'.format(
                 error,
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -12,6 +12,7 @@
     check_run,
 )
 from bamboodeck.bench.gateway_soak.commands import format_report
+from bamboodeck.bench.gateway_soak.faults import FaultInjector
 from bamboodeck.bench.gateway_soak.record import (
     Disturbance,
     EngineDrain,
@@ -238,3 +239,19 @@
         report = soak.run(8.0)
         assert report.requests > 100
         assert not report.violations, '\n'.join(format_report(report))
+
+    def test_failing_injector(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Fail a run whose faults can't be injected."""
+
+        def fail(_injector: FaultInjector) -> str:
+            raise LookupError('no host')
+
+        monkeypatch.setattr(FaultInjector, '_draw_host', fail)
+        soak = GatewaySoak(build_loop(), tmp_path, 3, 1, find_free_address)
+        report = soak.run(3.0)
+        promises = {violation.promise for violation in report.violations}
+        assert 'soak' in promises
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -28,11 +28,17 @@
         """Return the next address that is free to listen on."""
         while True:
             port = FIRST_PORT + self._offsets.pop(0)
-            with socket.socket() as probe, contextlib.suppress(OSError):
-                probe.bind((LOOPBACK, port))
+            with contextlib.suppress(OSError):
+                _probe(port)
                 return Address(LOOPBACK, port)
 
 
+def _probe(port: int) -> None:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            probe.bind((LOOPBACK, port))
+
+
 def build_pool(environ: Mapping[str, str], process_id: int) -> PortPool:
     """Build the pool of a test process; workers of a run get distinct ports."""
     run = environ.get('PYTEST_XDIST_TESTRUNUID', str(process_id))
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -29,3 +29,10 @@
             taken.bind((LOOPBACK, FIRST_PORT + ADDRESS_COUNT))
             taken.listen()
             assert pool.allocate().port > FIRST_PORT + ADDRESS_COUNT
+
+    def test_taken_for_datagrams(self) -> None:
+        """Skip a port that is in use for datagrams only."""
+        pool = PortPool(ADDRESS_COUNT)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind((LOOPBACK, FIRST_PORT + ADDRESS_COUNT))
+            assert pool.allocate().port > FIRST_PORT + ADDRESS_COUNT
