--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -251,7 +251,8 @@
             raise LookupError('no host')
 
         monkeypatch.setattr(FaultInjector, '_draw_host', fail)
+        monkeypatch.setattr(FaultInjector, '_draw_engine', fail)
         soak = GatewaySoak(build_loop(), tmp_path, 3, 1, find_free_address)
-        report = soak.run(3.0)
+        report = soak.run(6.0)
         promises = {violation.promise for violation in report.violations}
         assert 'soak' in promises
