Let a refused host read a configuration soon after the store serves it

Cause: a host that lacks a configuration which its zone knows didn't count its zone as served, so after one refused read it waited for the delay of an outage, twelve seconds and more at thirteen hosts.

Change: a host whose neighbour has news asks after its own short delays; other polls count the zone as served if it was confirmed after the own failure. A regained update is published after it is applied.

Figures: TestConfigurations (nine cases) fails on the commit before and passes; with 200 hosts the calls of an outage stay as bounded.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -6,6 +6,7 @@
 zones most changes arrive as updates of another host.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 from bamboodeck.gateway.context import GatewayContext
@@ -102,6 +103,8 @@
         self._failed_s = 0.0
         self._retry_spread = 1.0
         self._behind_since_s: float | None = None
+        # When the store last answered another host of the zone.
+        self._zone_confirmed_s = -math.inf
         self._missing: dict[str, EngineUnlisted] = {}
 
     def start(self) -> None:
@@ -137,14 +140,20 @@
 
         Return whether this host lacks earlier changes.
         """
+        now_s = self._context.now_s()
+        # Counts also if this host can't follow yet.
+        self._zone_confirmed_s = max(
+            self._zone_confirmed_s,
+            now_s - message.age_ms / _MILLISECONDS_PER_S,
+        )
         if not self.complete or message.revision < self.revision:
             return False
-        now_s = self._context.now_s()
         if message.after_revision > self.revision:
             if self._behind_since_s is None:
                 self._behind_since_s = now_s
-            if now_s - self._behind_since_s > CATCH_UP_S:
-                self._poll_unless_failing()
+            late = now_s - self._behind_since_s > CATCH_UP_S
+            if late and self._may_ask_for_news():
+                self._poll()
             return True
         self._behind_since_s = None
         if message.configuration_revision > self._configuration_revision:
@@ -175,9 +184,18 @@
             self._relist_until_s,
         )
 
-    def _poll_unless_failing(self) -> None:
-        if not self._failures or self._context.now_s() >= self._find_due_s():
-            self._poll()
+    def _may_ask_for_news(self) -> bool:
+        # A neighbour has news, so the store serves at least some hosts.
+        retry_s = self._find_retry_s(zone_served=True)
+        return not self._failures or self._context.now_s() >= retry_s
+
+    def _find_retry_s(self, *, zone_served: bool) -> float:
+        delay_s = find_retry_delay_s(
+            self._find_zone_rank(),
+            max(self._failures, 1),
+            zone_served=zone_served,
+        )
+        return self._failed_s + delay_s * self._retry_spread
 
     def _on_first_reply(self, reply: RegistryReply) -> None:
         self._polling = False
@@ -190,8 +208,7 @@
                 self._on_store_lost(reason)
 
     def _read_configuration(self, wanted_revision: int) -> None:
-        now_s = self._context.now_s()
-        if self._polling or (self._failures and now_s < self._find_due_s()):
+        if self._polling or not self._may_ask_for_news():
             return
 
         def on_reply(reply: RegistryReply) -> None:
@@ -211,6 +228,12 @@
 
     def _on_reply(self, reply: RegistryReply) -> None:
         self._polling = False
+        was_stale = self._is_staler_than(SECOND_STALENESS_FRACTION)
+        self._handle_reply(reply)
+        if was_stale and not self._failures and self.on_regained is not None:
+            self.on_regained()
+
+    def _handle_reply(self, reply: RegistryReply) -> None:
         match reply:
             case Snapshot(facts=facts, revision=revision):
                 self._record_reply(revision)
@@ -256,13 +279,8 @@
         stale_s = self._context.registry_confirmed_s + schedule.max_staleness_s
         if not self._failures:
             return stale_s
-        zone_served = self._lost_since_s is None
-        delay_s = find_retry_delay_s(
-            self._find_zone_rank(),
-            self._failures,
-            zone_served=zone_served,
-        )
-        retry_s = self._failed_s + delay_s * self._retry_spread
+        zone_served = self._zone_confirmed_s > self._failed_s
+        retry_s = self._find_retry_s(zone_served=zone_served)
         return max(retry_s, stale_s) if zone_served else retry_s
 
     def _poll(self) -> None:
@@ -280,13 +298,10 @@
 
     def _record_reply(self, revision: int) -> None:
         now_s = self._context.now_s()
-        was_stale = self._is_staler_than(SECOND_STALENESS_FRACTION)
         self._context.registry_confirmed_s = now_s
         self._last_reply_s = now_s
         self._failures = 0
         self._on_store_regained(revision)
-        if was_stale and self.on_regained is not None:
-            self.on_regained()
 
     def _is_staler_than(self, fraction: float) -> bool:
         bounds = self._context.settings.bounds
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -103,3 +103,31 @@
             calls += zone.calls_within(BOUNDS.drain_s)
             assert zone.knowing() == hosts
         assert calls <= 3 * BOUNDS.drain_s * MAX_AWAY_CALLS_PER_S + 10
+
+
+class TestConfigurations:
+    """Read a configuration soon after the store serves a host again."""
+
+    @pytest.mark.parametrize('hosts', [6, 30, 200])
+    @pytest.mark.parametrize('refused_every', [2, 3])
+    def test_refused(self, hosts: int, refused_every: int) -> None:
+        """Follow within the bound, though reading it was refused before."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: rank % refused_every > 0
+        zone.clock.run(2.0)
+        zone.put_configuration()
+        zone.clock.run(7.0)
+        zone.serves = lambda rank: True
+        zone.clock.run(BOUNDS.configuration_s / 2)
+        assert zone.configured() == hosts
+
+    @pytest.mark.parametrize('hosts', [6, 30, 200])
+    def test_outage(self, hosts: int) -> None:
+        """Follow within the bound after an outage for all hosts."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: False
+        zone.clock.run(9.0)
+        zone.put_configuration()
+        zone.serves = lambda rank: True
+        zone.clock.run(BOUNDS.configuration_s)
+        assert zone.configured() == hosts
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -8,8 +8,9 @@
 from bamboodeck.gateway.engines import EngineTable
 from bamboodeck.gateway.fleet import PUBLISH_PERIOD_S
 from bamboodeck.gateway.measures import GatewayMetrics
-from bamboodeck.gateway.model import Bounds
+from bamboodeck.gateway.model import Bounds, GatewayConfiguration
 from bamboodeck.gateway.ports import (
+    ConfigurationListed,
     EngineUnlisted,
     Fact,
     RegistryFailed,
@@ -18,6 +19,7 @@
     Update,
 )
 from bamboodeck.gateway.store_polling import ZoneRank
+from bamboodeck.http.relay_server import CallerLimits
 from tests.virtual_store import VirtualClock
 
 ANSWER_S = 0.01
@@ -55,6 +57,14 @@
         """Return an empty snapshot."""
         self._answer(on_reply, lambda: Snapshot((), self._zone.revision))
 
+    def read_configuration(self, on_reply: OnReply) -> None:
+        """Return the newest configuration."""
+        zone = self._zone
+        self._answer(
+            on_reply,
+            lambda: Snapshot(tuple(zone.configurations[-1:]), zone.revision),
+        )
+
     def wait_for_changes(
         self,
         after_revision: int,
@@ -108,6 +118,7 @@
         self.calls: list[float] = []
         self._random = Random(seed)
         self._changes: list[Fact] = []
+        self.configurations: list[ConfigurationListed] = []
         self.contexts: list[SimpleNamespace] = []
         self.discoveries: list[Discovery] = []
         for rank in range(hosts):
@@ -120,6 +131,25 @@
             EngineUnlisted(f'engine-{self.revision}', 'gone', self.revision),
         )
 
+    def put_configuration(self) -> None:
+        """Write a new configuration."""
+        self.revision += 1
+        configuration = GatewayConfiguration(
+            self.revision,
+            (),
+            {},
+            CallerLimits(),
+            None,
+        )
+        listed = ConfigurationListed(configuration, self.revision)
+        self.configurations.append(listed)
+        self._changes.append(listed)
+
+    def configured(self) -> int:
+        """Return how many hosts have the newest configuration."""
+        newest = self.configurations[-1].configuration
+        return sum(each.configuration is newest for each in self.contexts)
+
     def changes_after(self, revision: int) -> tuple[Fact, ...]:
         """Return the changes after a revision."""
         return tuple(each for each in self._changes if each.revision > revision)
@@ -166,7 +196,8 @@
             return scheduled
 
         log = SimpleNamespace(emit=lambda event: None, warn=lambda event: None)
-        return SimpleNamespace(
+        context = SimpleNamespace(
+            configuration=None,
             settings=SimpleNamespace(bounds=bounds, first_start=False),
             environment=SimpleNamespace(random=self._random),
             loop=SimpleNamespace(
@@ -179,6 +210,12 @@
             now_s=clock.read_s,
         )
 
+        def apply_configuration(configuration: GatewayConfiguration) -> None:
+            context.configuration = configuration
+
+        context.apply_configuration = apply_configuration
+        return context
+
     def _publish_later(self, rank: int) -> None:
         delay_s = PUBLISH_PERIOD_S * self._random.uniform(0.95, 1.05)
 
