Log what decides a denial, and each failed call to the store

Cause of the incident: not touched here. The denial names its configuration and the age of the host's view; each failed call its duration and the next one's delay. Ruled out: more fields on request_ended, which is written for each request. Conclusion: the lines tell a call that was sent too early from one that was refused.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -16,6 +16,7 @@
     DocumentSkipped,
     EngineGone,
     EngineListed,
+    StoreCallFailed,
     StoreLost,
     StoreRegained,
 )
@@ -40,6 +41,7 @@
     Update,
 )
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
+from bamboodeck.gateway.store_calls import StoreCalls
 from bamboodeck.gateway.store_polling import (
     CATCH_UP_S,
     SECOND_STALENESS_FRACTION,
@@ -48,15 +50,12 @@
     StoreView,
     ZoneRank,
     build_schedule,
-    find_retry_delay_s,
 )
 from bamboodeck.loop.scheduler import ScheduledCall
 
 # The delay after a failed call depends on the live hosts of the zone, so it is
 # checked again this often.
 RECHECK_S = 0.5
-# Doubling further would overflow the delay.
-MAX_FAILURES = 16
 # Running engines are listed again about two seconds after an outage.
 RELIST_S = 2.5
 
@@ -92,16 +91,10 @@
         self._changes = ChangeLog()
         self._hosts: set[str] = set()
         self._configuration_revision = 0
-        # When the store itself last answered, and whether a call is in flight.
-        self._last_reply_s = 0.0
-        self._polling = False
+        self._calls = StoreCalls()
         self._timer: ScheduledCall | None = None
         self._lost_since_s: float | None = None
         self._relist_until_s = 0.0
-        # Calls of this host that failed in a row.
-        self._failures = 0
-        self._failed_s = 0.0
-        self._retry_spread = 1.0
         self._behind_since_s: float | None = None
         # When this host last asked its zone for changes.
         self._asked_s = -math.inf
@@ -111,7 +104,7 @@
 
     def start(self) -> None:
         """Read a snapshot, then poll for changes."""
-        self._polling = True
+        self._calls.begin(self._context.now_s())
         # A stale read may still list what was withdrawn before a restart.
         self._registry.read_all(
             self._on_first_reply,
@@ -125,7 +118,7 @@
         # A host that relies on updates of others has nothing newer to publish.
         if not (schedule.publish_s and self.complete):
             return None
-        if now_s - self._last_reply_s > schedule.publish_s:
+        if now_s - self._calls.last_reply_s > schedule.publish_s:
             return None
         return self._changes.build_update(self._view(), now_s)
 
@@ -193,25 +186,20 @@
         return StoreView(
             self.revision,
             self._configuration_revision,
-            self._last_reply_s,
+            self._calls.last_reply_s,
             self._relist_until_s,
         )
 
     def _may_ask_for_news(self) -> bool:
         # A neighbour has news, so the store serves at least some hosts.
-        retry_s = self._find_retry_s(zone_served=True)
-        return not self._failures or self._context.now_s() >= retry_s
-
-    def _find_retry_s(self, *, zone_served: bool) -> float:
-        delay_s = find_retry_delay_s(
+        retry_s = self._calls.find_retry_s(
             self._find_zone_rank(),
-            max(self._failures, 1),
-            zone_served=zone_served,
+            zone_served=True,
         )
-        return self._failed_s + delay_s * self._retry_spread
+        return not self._calls.failures or self._context.now_s() >= retry_s
 
     def _on_first_reply(self, reply: RegistryReply) -> None:
-        self._polling = False
+        self._calls.in_flight = False
         match reply:
             case Snapshot(facts=facts, revision=revision):
                 if not self.complete:
@@ -223,11 +211,11 @@
     def _read_configuration(self, wanted_revision: int) -> None:
         # A store that refuses this host may still answer stale reads, so they
         # don't wait for the delay after a failed poll.
-        if self._polling:
+        if self._calls.in_flight:
             return
 
         def on_reply(reply: RegistryReply) -> None:
-            self._polling = False
+            self._calls.in_flight = False
             match reply:
                 case Snapshot(facts=facts):
                     self._apply(facts)
@@ -238,14 +226,18 @@
             if too_old and self._may_ask_for_news():
                 self._poll()
 
-        self._polling = True
+        self._calls.begin(self._context.now_s())
         self._registry.read_configuration(on_reply)
 
     def _on_reply(self, reply: RegistryReply) -> None:
-        self._polling = False
+        self._calls.in_flight = False
         was_stale = self._is_staler_than(SECOND_STALENESS_FRACTION)
         self._handle_reply(reply)
-        if was_stale and not self._failures and self.on_regained is not None:
+        if (
+            was_stale
+            and not self._calls.failures
+            and self.on_regained is not None
+        ):
             self.on_regained()
 
     def _handle_reply(self, reply: RegistryReply) -> None:
@@ -263,7 +255,7 @@
                 self._schedule_poll(self._schedule().pause_s if facts else 0)
             case HistoryLost():
                 self._context.metrics.count('history_lost')
-                self._polling = True
+                self._calls.begin(self._context.now_s())
                 self._registry.read_all(self._on_reply)
             case RegistryFailed(reason=reason):
                 self._on_store_lost(reason)
@@ -292,19 +284,22 @@
     def _find_due_s(self) -> float:
         schedule = self._schedule()
         stale_s = self._context.registry_confirmed_s + schedule.max_staleness_s
-        if not self._failures:
+        if not self._calls.failures:
             return stale_s
-        zone_served = self._zone_confirmed_s > self._failed_s
-        retry_s = self._find_retry_s(zone_served=zone_served)
+        zone_served = self._zone_confirmed_s > self._calls.failed_s
+        retry_s = self._calls.find_retry_s(
+            self._find_zone_rank(),
+            zone_served=zone_served,
+        )
         return max(retry_s, stale_s) if zone_served else retry_s
 
     def _poll(self) -> None:
-        if self._polling:
+        if self._calls.in_flight:
             return
         if not self.complete:
             self.start()
             return
-        self._polling = True
+        self._calls.begin(self._context.now_s())
         self._registry.wait_for_changes(
             self.revision,
             self._schedule().wait_s,
@@ -314,8 +309,7 @@
     def _record_reply(self, revision: int) -> None:
         now_s = self._context.now_s()
         self._context.registry_confirmed_s = now_s
-        self._last_reply_s = now_s
-        self._failures = 0
+        self._calls.record_reply(now_s)
         self._on_store_regained(revision)
 
     def _is_staler_than(self, fraction: float) -> bool:
@@ -334,11 +328,12 @@
 
     def _on_store_lost(self, reason: str) -> None:
         now_s = self._context.now_s()
-        self._failures = min(self._failures + 1, MAX_FAILURES)
-        self._failed_s = now_s
-        self._retry_spread = 0.5 + self._context.environment.random.random()
+        took_s = self._calls.record_failure(
+            now_s,
+            0.5 + self._context.environment.random.random(),
+        )
         # A host that the store refuses may still learn from its zone.
-        newly_lost = self._failures == 1 or self._is_staler_than(1.0)
+        newly_lost = self._calls.failures == 1 or self._is_staler_than(1.0)
         if self._lost_since_s is None and newly_lost:
             self._lost_since_s = now_s
             self._context.metrics.count('store_lost')
@@ -349,6 +344,16 @@
                     now_s - self._context.registry_confirmed_s,
                 ),
             )
+        self._context.metrics.count('store_call_failed')
+        self._context.log.emit(
+            StoreCallFailed(
+                reason,
+                self._calls.failures,
+                took_s,
+                self._find_due_s() - now_s,
+                now_s - self._context.registry_confirmed_s,
+            ),
+        )
         self._schedule_poll(0)
 
     def _on_store_regained(self, revision: int) -> None:
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -52,6 +52,16 @@
     age_s: float
 
 
+class StoreCallFailed(msgspec.Struct, frozen=True):
+    """Log a failed call to the store, and the delay before the next one."""
+
+    reason: str
+    failures: int
+    took_s: float
+    next_s: float
+    age_s: float
+
+
 class StoreRegained(msgspec.Struct, frozen=True):
     """Log that the store answers again."""
 
@@ -121,6 +131,18 @@
     engine: str
 
 
+class RequestDenied(msgspec.Struct, frozen=True):
+    """Log the configuration that has no route or key for a request."""
+
+    request_id: str
+    status: int
+    reason: str
+    host: str
+    path: str
+    configuration: int
+    registry_age_s: float
+
+
 class RequestPlaced(msgspec.Struct, frozen=True):
     """Log the engine chosen for a request, and the reasons."""
 
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -6,6 +6,7 @@
 from bamboodeck.gateway.engines import Engine
 from bamboodeck.gateway.events import (
     AnswerJudged,
+    RequestDenied,
     RequestEnded,
     RequestWaits,
 )
@@ -79,9 +80,9 @@
             return
         match self.context.routes.resolve(request):
             case NoRoute():
-                self._answer(responder, request, _NOT_FOUND, 'no such route')
+                self._deny(responder, request, _NOT_FOUND, 'no such route')
             case UnknownKey():
-                self._answer(responder, request, _UNAUTHORIZED, 'unknown key')
+                self._deny(responder, request, _UNAUTHORIZED, 'unknown key')
             case Resolved(route=route, customer=customer):
                 if not request.request_id:
                     self._answer(
@@ -330,6 +331,27 @@
         if kind is not None:
             attempt.fail(f'engine is {kind.value}', kind)
 
+    def _deny(
+        self,
+        responder: RelayExchange,
+        request: CallerRequest,
+        status: int,
+        reason: str,
+    ) -> None:
+        context = self.context
+        context.log.emit(
+            RequestDenied(
+                request.request_id,
+                status,
+                reason,
+                request.host,
+                request.path,
+                context.routes.version,
+                context.now_s() - context.registry_confirmed_s,
+            ),
+        )
+        self._answer(responder, request, status, reason)
+
     def _answer(
         self,
         responder: RelayExchange,
