Have a lost call to the store replaced within the stability window

Cause: a call that waits at the store was given up after exactly the stability window (3 s of wait, 1 s of slack). Sent just before the store's return, it was lost with the silence; the retry's delay of up to 1.5 s and a new connection came on top, more than 4 s after the return. The same for a connection that falls silent in the pause after a change (1 s more). Fix: how long a call may wait follows from the time since the store's last answer, so that its timeout, the first retry and its answer fit the window; while calls fail they don't wait at the store at all. Evidence: test_configuration_late_after_silence and test_configuration_late_on_silent_connection fail on the code before for zones of 1 and 2 hosts (8 of 16 cases) and pass now. Ruled out by the trace: restarts, stale reads, refused hosts. Class: time-outs in series against one bound.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -264,6 +264,7 @@
         return build_schedule(
             self._find_zone_rank(),
             self._context.settings.bounds,
+            self._context.now_s() - self._calls.last_reply_s,
         )
 
     def _schedule_poll(self, delay_s: float) -> None:
--- a/bamboodeck/gateway/store_polling.py
+++ b/bamboodeck/gateway/store_polling.py
@@ -46,10 +46,12 @@
 # make one call in this period.
 ZONE_RETRY_PERIOD_S = 1.0
 # A store that stopped responding forgets waiting calls. This margin lets such a
-# call time out before the host has to follow the store again.
-ANSWER_SLACK_S = 1.0
+# call time out, and the next one be answered on a new connection, before the
+# host has to follow the store again.
+ANSWER_SLACK_S = 1.5
 MIN_WAIT_S = 0.5
-# A host whose state is stale needs an answer before the next host polls too.
+# A host whose state is stale needs an answer before the next host polls too. It
+# also finds out soon whether a store that didn't answer is back.
 STALE_WAIT_S = 0.001
 # Changes are published repeatedly for this long, since messages may be lost.
 RESEND_S = 1.0
@@ -86,20 +88,32 @@
     publish_s: float
 
 
-def build_schedule(rank: ZoneRank, bounds: Bounds) -> PollSchedule:
-    """Return when a host polls, by its rank in the zone."""
+def build_schedule(
+    rank: ZoneRank,
+    bounds: Bounds,
+    reply_age_s: float = 0.0,
+) -> PollSchedule:
+    """Return when a host polls, by its rank in the zone.
+
+    `reply_age_s` is the time since the store last answered the host.
+    """
     bound_s = min(bounds.drain_s, bounds.configuration_s)
+    # A lost call must have timed out within the window after the last answer.
+    left_s = bounds.stability_s - ANSWER_SLACK_S - reply_age_s
+    longest_wait_s = max(left_s, STALE_WAIT_S)
     if rank.hosts < MIN_SHARING_HOSTS:
         return PollSchedule(
             pause_s=UNSHARED_PAUSE_FRACTION * bound_s,
-            wait_s=max(bounds.stability_s - ANSWER_SLACK_S, MIN_WAIT_S),
+            wait_s=longest_wait_s,
             max_staleness_s=0.0,
             publish_s=0.0,
         )
     shared_wait_s = max(SHARED_WAIT_FRACTION * bound_s, MIN_WAIT_S)
     return PollSchedule(
         pause_s=SHARED_PAUSE_FRACTION * bound_s,
-        wait_s=STALE_WAIT_S if rank.rank else shared_wait_s,
+        wait_s=(
+            STALE_WAIT_S if rank.rank else min(shared_wait_s, longest_wait_s)
+        ),
         max_staleness_s=_find_staleness_fraction(rank) * bound_s,
         publish_s=2 * shared_wait_s,
     )
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -6,6 +6,7 @@
 from tests.gateway.virtual_zone import SILENT_S, VirtualZone
 
 BOUNDS = Bounds(drain_s=5.0, configuration_s=5.0, stability_s=5.0)
+SMALL_BOUNDS = Bounds(drain_s=2.5, configuration_s=2.5, stability_s=4.0)
 ZONE_SIZES = [1, 6, 30, 200]
 # Calls of a zone in a second while the store is away: one of the first host
 # and one of the others, each spread by half.
@@ -176,3 +177,43 @@
         assert zone.configured() == hosts
         assert zone.knowing() == hosts
         assert zone.sent_changes <= 3 * changes * hosts
+
+
+class TestSilence:
+    """Have a configuration in force once the stability window is over."""
+
+    @pytest.mark.parametrize('bounds', [SMALL_BOUNDS, BOUNDS])
+    @pytest.mark.parametrize('hosts', [1, 2, 6, 30])
+    def test_configuration_late_after_silence(
+        self,
+        hosts: int,
+        bounds: Bounds,
+    ) -> None:
+        """Don't lose a call sent just before the store's return for long."""
+        for tenths in range(1, 100):
+            zone = VirtualZone(hosts, bounds, seed=tenths)
+            zone.clock.run(SETTLE_S)
+            zone.fall_silent()
+            zone.clock.run(tenths / 10)
+            zone.silent = False
+            zone.put_configuration()
+            zone.clock.run(bounds.stability_s)
+            assert zone.configured() == hosts, f'silent for {tenths / 10} s'
+
+    @pytest.mark.parametrize('bounds', [SMALL_BOUNDS, BOUNDS])
+    @pytest.mark.parametrize('hosts', [1, 2, 6, 30])
+    def test_configuration_late_on_silent_connection(
+        self,
+        hosts: int,
+        bounds: Bounds,
+    ) -> None:
+        """Don't wait for long on a connection that fell silent in a pause."""
+        for tenths in range(40):
+            zone = VirtualZone(hosts, bounds, seed=tenths)
+            zone.clock.run(SETTLE_S)
+            zone.put_change()
+            zone.clock.run(tenths / 10)
+            zone.silence_connections()
+            zone.put_configuration()
+            zone.clock.run(bounds.stability_s)
+            assert zone.configured() == hosts, f'silent after {tenths / 10} s'
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -20,6 +20,7 @@
 )
 from bamboodeck.gateway.store_polling import ZoneRank
 from bamboodeck.http.relay_server import CallerLimits
+from bamboodeck.platform.store import CALL_TIMEOUT_S, WATCH_SLACK_S
 from tests.virtual_store import VirtualClock
 
 ANSWER_S = 0.01
@@ -85,16 +86,27 @@
             return Update(zone.changes_after(after_revision), zone.revision)
 
         due = zone.revision > after_revision
-        self._answer(on_reply, build, 0.0 if due else wait_s)
+        self._answer(
+            on_reply,
+            build,
+            0.0 if due else wait_s,
+            wait_s + WATCH_SLACK_S,
+        )
 
     def _answer(
         self,
         on_reply: OnReply,
         build: Callable[[], RegistryReply],
         wait_s: float = 0.0,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         zone = self._zone
         zone.count_call()
+        if zone.silent or zone.take_silent_connection(self._rank):
+            lost = RegistryFailed('no data received')
+            zone.clock.call_after(timeout_s, lambda: on_reply(lost))
+            return
+        silences = zone.silences
         if not zone.serves(self._rank):
             failed = RegistryFailed('refused')
             zone.clock.call_after(zone.failure_s, lambda: on_reply(failed))
@@ -102,7 +114,11 @@
 
         def finish() -> None:
             # A store that went away forgets the calls that wait.
-            if zone.serves(self._rank):
+            if zone.silences > silences:
+                lost = RegistryFailed('no data received')
+                left_s = timeout_s - wait_s - ANSWER_S
+                zone.clock.call_after(left_s, lambda: on_reply(lost))
+            elif zone.serves(self._rank):
                 on_reply(build())
             else:
                 zone.clock.call_after(
@@ -122,6 +138,11 @@
         self.revision = 1
         self.serves: Callable[[int], bool] = lambda rank: True
         self.failure_s = ANSWER_S
+        # A silent store answers no call, and forgets those that wait.
+        self.silent = False
+        self.silences = 0
+        # The hosts whose open connection to the store is silent for good.
+        self._silent_connections: set[int] = set()
         self.calls: list[float] = []
         # Changes that hosts were sent because they asked.
         self.sent_changes = 0
@@ -163,6 +184,26 @@
         """Return the changes after a revision."""
         return tuple(each for each in self._changes if each.revision > revision)
 
+    def fall_silent(self) -> None:
+        """Let the store answer nothing until `silent` is reset."""
+        self.silent = True
+        self.silences += 1
+
+    def silence_connections(self) -> None:
+        """Let all open connections to the store fall silent for good."""
+        self.silences += 1
+        self._silent_connections = {
+            rank
+            for rank, discovery in enumerate(self.discoveries)
+            if not discovery._calls.in_flight
+        }
+
+    def take_silent_connection(self, rank: int) -> bool:
+        """Tell whether a host's next call uses a silent connection."""
+        used = rank in self._silent_connections
+        self._silent_connections.discard(rank)
+        return used
+
     def count_call(self) -> None:
         """Record a call to the store."""
         self.calls.append(self.clock.now_s)
