Open a new connection to the store after a lost call

Cause: only connections to engines were closed when one of them had failed. Evidence: test_second_silent_connection fails on the code before and passes now. Ruled out: closing connections on refusals, which are answers. Works since a new connection isn't silent.

--- a/bamboodeck/fakes/platform/store.py
+++ b/bamboodeck/fakes/platform/store.py
@@ -17,6 +17,7 @@
     RevisionedStore,
     StoreEvent,
 )
+from bamboodeck.http.connection import Connection
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.http.relay_server import RelayExchange, RelayServer
 from bamboodeck.http.request_parser import ParsedRequest
@@ -62,6 +63,7 @@
         self._pending_watches: list[_PendingWatch] = []
         self._compacted_revision = 0
         self._stale_snapshot: tuple[list[KeyValue], int] | None = None
+        self._silent_connections: set[Connection] = set()
         self._server = RelayServer(
             loop,
             address,
@@ -107,7 +109,13 @@
             pending.responder.abort()
         self._pending_watches.clear()
 
+    def silence_connections(self) -> None:
+        """Answer nothing on the open connections any more."""
+        self._silent_connections = set(self._server.connections)
+
     def _handle(self, parsed: ParsedRequest, responder: RelayExchange) -> None:
+        if responder.connection in self._silent_connections:
+            return
         self.calls[parsed.path] = self.calls.get(parsed.path, 0) + 1
         match self.mode:
             case StoreMode.SILENT:
--- a/bamboodeck/http/relay_server.py
+++ b/bamboodeck/http/relay_server.py
@@ -57,6 +57,11 @@
         self._omit_body = request.method == 'HEAD'
         self._supports_chunked = request.version == '1.1'
 
+    @property
+    def connection(self) -> Connection:
+        """Return the caller's connection."""
+        return self._client.connection
+
     @property
     def congested(self) -> bool:
         """Return whether the send buffer is above its high-water mark."""
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -334,7 +334,14 @@
             timeout_s,
             CONNECT_TIMEOUT_S,
         )
-        self._client.send(call, on_outcome)
+
+        def on_checked(outcome: HttpOutcome) -> None:
+            if isinstance(outcome, HttpFailed):
+                # Other connections of the same age may be silent too.
+                self._client.close_idle_to(self._address)
+            on_outcome(outcome)
+
+        self._client.send(call, on_checked)
 
     def _deliver(self, reply: StoreReply, on_reply: OnReply) -> None:
         if isinstance(reply, StoreFailed):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -204,3 +204,21 @@
         """Reject a write under an expired lease."""
         assert caller.commit(0, b'late', lease=999) == LeaseExpired()
         assert fake.read('own/key') is None
+
+
+class TestSilentConnections:
+    """Leave connections that may be silent for good."""
+
+    def test_second_silent_connection(
+        self,
+        fake: PlatformStoreFake,
+        caller: StoreCaller,
+    ) -> None:
+        """Don't retry a lost call on another connection of the same age."""
+        for _ in range(3):
+            caller.store.read_prefix('', caller.replies.append)
+        for _ in range(3):
+            assert isinstance(caller.wait(), ItemsRead)
+        fake.silence_connections()
+        assert isinstance(caller.read(), StoreFailed)
+        assert isinstance(caller.read(), ItemsRead)
