Log the prompt parts of requests whose engine broke off

The lines couldn't tell a common part from crashes without a common cause. Ruled out: parts on request_placed, a line of each request.

--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -200,6 +200,8 @@
     after_ms: float
     attempt: int
     sequel: str
+    # The parts of the prompt, if the engine may have crashed on one of them.
+    parts: str = ''
 
 
 class RequestEnded(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -473,10 +473,19 @@
                 (now_s - attempt.began_s) * _MILLISECONDS_PER_S,
                 self.attempts,
                 'try-again' if isinstance(decision, Retry) else decision.reason,
+                _list_parts(self.request)
+                if cause is FailureCause.BROKEN
+                else '',
             ),
         )
 
 
+def _list_parts(request: CallerRequest) -> str:
+    if request.generation is None:
+        return ''
+    return ','.join(part.part_id for part in request.generation.parts)
+
+
 def _is_own_answer(attempt: Attempt, request_id: str) -> bool:
     if attempt.head.request_id is None:
         # On a reused connection it may answer an earlier request.
