Refuse requests with a prompt part that crashes engines

Cause: a crash was attributed to a hash of customer, method, target and body. Fix: each host records which shared prompt parts were on an engine that broke off before it sent a second event, and tells the other hosts. Parts that an engine has answered are harmless, whatever crashes beside them. Of the others the part on most engines is blamed, from three engines on, and the crashes it explains count for no other part. An engine that answers a later request has not crashed. Requests with a blamed part are refused as not run before they reach an engine, retries too. Ruled out: the hash over prompt parts (no two requests are alike), blaming any part seen at two crashes (sessions are on several crashed engines by chance), waiting for a refused connection (few hosts connect again in time). Open: after a restart of all hosts the part is learned anew. Class: evidence keyed by what doesn't recur.

--- a/bamboodeck/fakes/platform/engine.py
+++ b/bamboodeck/fakes/platform/engine.py
@@ -56,6 +56,8 @@
     step_s: float = 0.0
     events: int = DEFAULT_EVENTS
     confidences: dict[str, int] = {}
+    # The engine crashes when it begins to answer a request with this part.
+    deadly_part: str | None = None
 
 
 class PlatformEngineFake:
@@ -187,6 +189,12 @@
         head.append(Header(protocol.CONFIDENCE, str(confidence)))
         first = int(run.headers.get(protocol.LAST_EVENT_ID.lower(), '0')) + 1
         responder.start(HTTPStatus.OK, tuple(head))
+        prompt = run.headers.get(protocol.PROMPT_PREFIX.lower(), '')
+        listed = [part.partition(':')[0] for part in prompt.split(',')]
+        if self.behaviour.deadly_part in listed:
+            _record_outcome(run, 'crashed')
+            self.stop()
+            return
         self._send_events(run, responder, first, fault)
 
     def _send_events(
--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -104,7 +104,12 @@
             registry,
             members.find_rank,
         )
-        self.traffic = Traffic(self.context, platform.codec, self.rollouts)
+        self.traffic = Traffic(
+            self.context,
+            platform.codec,
+            self.rollouts,
+            self.fleet.suspects.report,
+        )
         self.discovery = Discovery(
             self.context,
             registry,
--- a/bamboodeck/gateway/attempt.py
+++ b/bamboodeck/gateway/attempt.py
@@ -53,6 +53,8 @@
         self.began_s = now_s
         self.last_progress_s = now_s
         self.first_s: float | None = None
+        # Events of its stream that were received.
+        self.events = 0
         self.head: EngineHead | None = None
         self.connection: ClientConnection | None = None
         self.ended = False
--- a/bamboodeck/gateway/context.py
+++ b/bamboodeck/gateway/context.py
@@ -13,6 +13,7 @@
 from bamboodeck.gateway.request_queue import RequestQueue
 from bamboodeck.gateway.routes import RouteTable
 from bamboodeck.gateway.sessions import SessionVersions
+from bamboodeck.gateway.suspect_parts import SuspectParts
 from bamboodeck.http.client import HttpClient
 from bamboodeck.logs import EventLog
 from bamboodeck.loop.program import Loop
@@ -35,6 +36,7 @@
     queue: RequestQueue
     sessions: SessionVersions
     poison: PoisonGuard
+    suspect_parts: SuspectParts
     configuration: GatewayConfiguration | None = None
     routes: RouteTable | None = None
     # When the store last confirmed the known state; initially the start time.
@@ -92,5 +94,6 @@
         queue=RequestQueue(),
         sessions=SessionVersions(bounds.session_s),
         poison=PoisonGuard(),
+        suspect_parts=SuspectParts(),
         registry_confirmed_s=environment.monotonic_s(),
     )
--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -183,8 +183,10 @@
         events = self._take_new(events)
         if not events:
             return
-        if any(not event.is_comment for event in events):
+        pieces = sum(not event.is_comment for event in events)
+        if pieces:
             attempt.record_progress(self._exchange.context.now_s())
+            self._exchange.record_events(attempt, pieces)
         if attempt.first_s is None:
             self._exchange.record_first_token(attempt)
         self._forward_events(attempt, events)
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -268,6 +268,24 @@
     fingerprint: str
 
 
+class PartsSuspected(msgspec.Struct, frozen=True):
+    """Log the prompt parts of a request whose engine broke off.
+
+    Parts that an engine has answered are left out.
+    """
+
+    request_id: str
+    engine: str
+    parts: str
+
+
+class PartBlamed(msgspec.Struct, frozen=True):
+    """Log that requests with a prompt part are refused from now on."""
+
+    part: str
+    engines: str
+
+
 class PeerSeen(msgspec.Struct, frozen=True):
     """Log that a host of the fleet was listed."""
 
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -37,6 +37,9 @@
 # Shorter than the usual idle timeout of engines.
 MAX_IDLE_S = 4.0
 
+# An engine that crashes on a request may still have sent the first event.
+STREAMING_EVENTS = 2
+
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
@@ -62,6 +65,9 @@
     def on_rejected(self, exchange: 'Exchange', attempt: Attempt) -> None:
         """Record that an engine rejected a request without running it."""
 
+    def on_streaming(self, exchange: 'Exchange', attempt: Attempt) -> None:
+        """Record that an engine goes on with an answer that it began."""
+
     def on_overdue(self, exchange: 'Exchange', attempt: Attempt) -> None:
         """Record an attempt that is incomplete at the deadline."""
 
@@ -184,7 +190,7 @@
                 request=self.request,
                 customer=self.customer_name or None,
                 time_left_s=max(self.left_s() - ANSWER_MARGIN_S, 0.001),
-                engine_priority=self._engine_priority(),
+                engine_priority=_rank_at_engine(self.request, self.rank),
                 model=self.model,
                 last_event_id=resume_at,
             ),
@@ -275,6 +281,13 @@
             )
         attempt.record_first_token(now_s)
 
+    def record_events(self, attempt: Attempt, events: int) -> None:
+        """Count the events of a stream."""
+        was_streaming = attempt.events >= STREAMING_EVENTS
+        attempt.events += events
+        if attempt.events >= STREAMING_EVENTS and not was_streaming:
+            self._owner.outcomes.on_streaming(self, attempt)
+
     def record_answered(self, attempt: Attempt) -> None:
         """Record a complete answer, which may be a server error."""
         self._owner.outcomes.on_answered(self, attempt)
@@ -416,11 +429,6 @@
     def _on_caller_aborted(self) -> None:
         self.finish(0, 'caller-gone')
 
-    def _engine_priority(self) -> int | None:
-        if self.request.generation is None:
-            return None
-        return min(_MOST_URGENT + self.rank, _LEAST_URGENT)
-
     def _log_placed(
         self,
         estimate: CostEstimate,
@@ -480,6 +488,12 @@
         )
 
 
+def _rank_at_engine(request: CallerRequest, rank: int) -> int | None:
+    if request.generation is None:
+        return None
+    return min(_MOST_URGENT + rank, _LEAST_URGENT)
+
+
 def _list_parts(request: CallerRequest) -> str:
     if request.generation is None:
         return ''
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -24,11 +24,13 @@
     SessionUpdate,
     StoreQuery,
     StoreUpdate,
+    SuspectUpdate,
     ZoneUpdate,
 )
 from bamboodeck.gateway.ports import PeerListed, PeerUnlisted, Registry
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
 from bamboodeck.gateway.sessions import SessionUse
+from bamboodeck.gateway.suspect_sharing import SuspectSharing
 from bamboodeck.http.messages import Address
 
 # Loads change with every request, so they are published often within a zone.
@@ -58,6 +60,7 @@
             context.loop.poller,
             context.metrics,
         )
+        self.suspects = SuspectSharing(context)
         self._context = context
         self._rollouts: RolloutCoordinator | None = None
         self._discovery: Discovery | None = None
@@ -67,6 +70,7 @@
         self.link.handle(StoreQuery, self._on_store_query)
         self.link.handle(SessionUpdate, self._on_session_update)
         self.link.handle(ZoneUpdate, self._on_zone_update)
+        self.link.handle(SuspectUpdate, self._on_suspect_update)
 
     def start(self, rollouts: RolloutCoordinator, discovery: Discovery) -> None:
         """List this host and start publishing."""
@@ -105,6 +109,7 @@
             (peer.address for peer in own_zone_peers),
         )
         self._publish_sessions()
+        self._publish_suspects()
         self._publish_store_update()
 
     def _publish_zone_update(
@@ -161,9 +166,19 @@
         )
         if not notices:
             return
+        self._send_to_fleet(SessionUpdate(notices))
+
+    def _publish_suspects(self) -> None:
+        update = self.suspects.build_update(
+            is_first=self.members.find_zone_rank().rank == 0,
+        )
+        if update is not None:
+            self._send_to_fleet(update)
+
+    def _send_to_fleet(self, message: SessionUpdate | SuspectUpdate) -> None:
         addresses = [peer.address for peer in self.members.own_zone_peers()]
         addresses += self._choose_recipients(self.members.other_zone_peers())
-        self.link.send(SessionUpdate(notices), addresses)
+        self.link.send(message, addresses)
 
     def _list_loads(self) -> tuple[EngineLoad, ...]:
         return tuple(
@@ -210,7 +225,7 @@
     def _forward_to_zone(
         self,
         host: str,
-        message: ZoneUpdate | SessionUpdate,
+        message: ZoneUpdate | SessionUpdate | SuspectUpdate,
     ) -> None:
         # Only updates received directly from another zone are forwarded.
         own_zone_peers = self.members.own_zone_peers()
@@ -260,6 +275,10 @@
         if answer is not None:
             self.link.send(answer, [peer.address])
 
+    def _on_suspect_update(self, host: str, message: SuspectUpdate) -> None:
+        self._forward_to_zone(host, message)
+        self.suspects.apply(message)
+
     def _on_session_update(self, host: str, message: SessionUpdate) -> None:
         self._forward_to_zone(host, message)
         now_s = self._context.now_s()
--- a/bamboodeck/gateway/outcomes.py
+++ b/bamboodeck/gateway/outcomes.py
@@ -1,14 +1,19 @@
 """Update the state of engines, versions and crashes by request outcomes."""
 
+from collections.abc import Callable
+
 from bamboodeck.gateway.attempt import Attempt
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.engines import Engine
 from bamboodeck.gateway.events import EngineBack, EnginePaused
 from bamboodeck.gateway.exchange import Exchange
 from bamboodeck.gateway.fingerprints import CrashTracker
+from bamboodeck.gateway.part_tracker import PartTracker
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
+from bamboodeck.gateway.suspect_parts import EngineCrash
 from bamboodeck.http.messages import FailureKind, HttpFailed
 
+_FIRST_FAILURE = 300
 _SERVER_ERROR = 500
 _MILLISECONDS_PER_S = 1000
 
@@ -20,9 +25,11 @@
         self,
         context: GatewayContext,
         rollouts: RolloutCoordinator,
+        share_crash: Callable[[EngineCrash], None],
     ) -> None:
         """Start without recorded outcomes."""
         self.crashes = CrashTracker(context)
+        self.parts = PartTracker(context, share_crash)
         self._context = context
         self._rollouts = rollouts
 
@@ -40,6 +47,12 @@
             engine.record_success(now_s)
         self.record_latency(exchange, attempt, failed=bad)
         self.crashes.record_answered(exchange.fingerprint, engine)
+        if attempt.head.status < _FIRST_FAILURE:
+            self.parts.record_answered(exchange, attempt)
+
+    def on_streaming(self, exchange: Exchange, attempt: Attempt) -> None:
+        """Record that an engine goes on with an answer that it began."""
+        self.parts.record_answered(exchange, attempt)
 
     def on_unanswered(
         self,
@@ -61,6 +74,7 @@
             self.crashes.record_crash(engine)
         elif failure.kind is FailureKind.BROKEN and failure.maybe_started:
             self.crashes.record_broken(exchange.fingerprint, engine)
+            self.parts.record_broken(exchange, attempt)
 
     def on_rejected(self, exchange: Exchange, attempt: Attempt) -> None:
         """Record that an engine rejected a request without running it."""
--- a/bamboodeck/gateway/peer_messages.py
+++ b/bamboodeck/gateway/peer_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bamboodeck.gateway.ports import ShareableFact
+from bamboodeck.gateway.suspect_parts import SuspectPart
 
 
 class EngineLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -86,6 +87,28 @@
     forwarded: bool = False
 
 
+class CrashedParts(msgspec.Struct, frozen=True, array_like=True):
+    """Report the prompt parts that were on an engine when it broke off."""
+
+    # The id and the start of the engine.
+    incarnation: str
+    age_ms: int
+    parts: tuple[SuspectPart, ...]
+
+
+class SuspectUpdate(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='suspects',
+):
+    """Publish suspected prompt parts, and parts that are harmless."""
+
+    crashes: tuple[CrashedParts, ...] = ()
+    harmless: tuple[str, ...] = ()
+    forwarded: bool = False
+
+
 class StoreUpdate(msgspec.Struct, frozen=True, array_like=True, tag='store'):
     """Publish changes of the store within the zone.
 
@@ -110,7 +133,14 @@
     after_revision: int
 
 
-PeerMessage = HostUpdate | ZoneUpdate | SessionUpdate | StoreUpdate | StoreQuery
+PeerMessage = (
+    HostUpdate
+    | ZoneUpdate
+    | SessionUpdate
+    | SuspectUpdate
+    | StoreUpdate
+    | StoreQuery
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/bamboodeck/gateway/suspect_parts.py
@@ -0,0 +1,231 @@
+"""Find the parts of prompts that crash the engines that read them.
+
+Load pattern: one part crashes each engine that begins to answer a request with
+it, and takes the other requests on the engine with it. Requests with the part
+differ in all else and come at any host, while sound ones share their other
+parts. A part that an engine has answered is harmless. Of the others, the part
+that was on most crashed engines is blamed first, and the crashes that it
+explains count for no other part.
+"""
+
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bamboodeck.gateway.model import Generation
+
+# Fewer could be a request that was on engines that crashed for other reasons.
+CRASHES_TO_BLOCK = 3
+# A crash counts, and a part stays harmless, for this long after it was seen.
+EXPIRY_S = 600.0
+# Reports of one crash arrive over several hosts; only a time that is later by
+# more than their delay is a new one.
+MIN_TIME_CHANGE_S = 5.0
+# How often blame is assigned anew without news, so that it expires.
+REASSIGN_PERIOD_S = 30.0
+MAX_CRASHES = 256
+MAX_PARTS_PER_CRASH = 100
+MAX_HARMLESS_PARTS = 20_000
+
+
+class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
+    """Name a part, and its position in the prompt, of a broken request."""
+
+    part_id: str
+    depth: int
+
+
+class EngineCrash(msgspec.Struct, frozen=True):
+    """Hold the parts that were on an engine when it broke off."""
+
+    # The id and the start of the engine.
+    incarnation: str
+    crashed_s: float
+    parts: tuple[SuspectPart, ...]
+
+
+@dataclass(slots=True)
+class _Crash:
+    crashed_s: float
+    depths: dict[str, int] = field(default_factory=dict)
+
+
+def list_shared_parts(generation: Generation | None) -> tuple[SuspectPart, ...]:
+    """Return the parts that other requests may have too.
+
+    The last part belongs to the request itself or to its session.
+    """
+    if generation is None:
+        return ()
+    return tuple(
+        SuspectPart(part.part_id, depth)
+        for depth, part in enumerate(generation.parts[:-1])
+    )
+
+
+class SuspectParts:
+    """Hold the crashes of engines and the parts that are harmless."""
+
+    def __init__(self) -> None:
+        """Start without crashes."""
+        self._crashes: OrderedDict[str, _Crash] = OrderedDict()
+        self._harmless: OrderedDict[str, float] = OrderedDict()
+        # When the latest request began that an engine has answered.
+        self._alive: OrderedDict[str, float] = OrderedDict()
+        self._blamed: frozenset[str] = frozenset()
+        self._assigned_s = 0.0
+        self._changed = False
+
+    def is_harmless(self, part_id: str, now_s: float) -> bool:
+        """Tell whether an engine has answered a request with a part."""
+        answered_s = self._harmless.get(part_id)
+        return answered_s is not None and now_s - answered_s < EXPIRY_S
+
+    def record_answered(
+        self,
+        incarnation: str,
+        began_s: float,
+        parts: Iterable[SuspectPart],
+        now_s: float,
+    ) -> None:
+        """Record that an engine answers a request that began at a time."""
+        self.record_harmless((part.part_id for part in parts), now_s)
+        self._alive[incarnation] = max(
+            began_s,
+            self._alive.get(incarnation, began_s),
+        )
+        self._alive.move_to_end(incarnation)
+        if len(self._alive) > MAX_CRASHES:
+            self._alive.popitem(last=False)
+        crash = self._crashes.get(incarnation)
+        if crash is not None and crash.crashed_s < began_s:
+            # It lost an answer, but runs on.
+            self._crashes.pop(incarnation)
+            self._changed = True
+
+    def record_harmless(self, part_ids: Iterable[str], now_s: float) -> None:
+        """Clear parts of suspicion."""
+        for part_id in part_ids:
+            if not self.is_harmless(part_id, now_s):
+                self._changed = True
+            self._harmless[part_id] = now_s
+            self._harmless.move_to_end(part_id)
+        while len(self._harmless) > MAX_HARMLESS_PARTS:
+            self._harmless.popitem(last=False)
+
+    def record_crash(
+        self,
+        crash: EngineCrash,
+        now_s: float,
+    ) -> tuple[SuspectPart, ...]:
+        """Add what was on an engine that broke off; return its suspects."""
+        suspects = tuple(
+            part
+            for part in crash.parts
+            if not self.is_harmless(part.part_id, now_s)
+        )
+        alive_s = self._alive.get(crash.incarnation, -math.inf)
+        if not suspects or alive_s > crash.crashed_s:
+            return ()
+        known = self._crashes.setdefault(
+            crash.incarnation,
+            _Crash(crash.crashed_s),
+        )
+        if crash.crashed_s > known.crashed_s + MIN_TIME_CHANGE_S:
+            known.crashed_s = crash.crashed_s
+        for part in suspects:
+            if len(known.depths) < MAX_PARTS_PER_CRASH:
+                known.depths.setdefault(part.part_id, part.depth)
+        while len(self._crashes) > MAX_CRASHES:
+            self._crashes.popitem(last=False)
+        self._changed = True
+        return suspects
+
+    def list_blamed(self, now_s: float) -> frozenset[str]:
+        """Return the parts whose requests are to be refused."""
+        if self._changed or now_s - self._assigned_s > REASSIGN_PERIOD_S:
+            self._blamed = self._assign_blame(now_s)
+            self._assigned_s = now_s
+            self._changed = False
+        return self._blamed
+
+    def find_blamed(
+        self,
+        parts: Iterable[SuspectPart],
+        now_s: float,
+    ) -> str | None:
+        """Return the part for which to refuse a request, if any.
+
+        While requests with it come, its crashes don't expire.
+        """
+        if not self._crashes:
+            return None
+        blamed = self.list_blamed(now_s)
+        for part in parts:
+            if part.part_id in blamed:
+                self._extend(part.part_id, now_s)
+                return part.part_id
+        return None
+
+    def list_crashes(
+        self,
+        part_ids: Iterable[str],
+    ) -> tuple[EngineCrash, ...]:
+        """Return the crashes that parts explain, to tell other hosts."""
+        wanted = set(part_ids)
+        found = []
+        for incarnation, crash in self._crashes.items():
+            parts = tuple(
+                SuspectPart(part_id, depth)
+                for part_id, depth in crash.depths.items()
+                if part_id in wanted
+            )
+            if parts:
+                found.append(EngineCrash(incarnation, crash.crashed_s, parts))
+        return tuple(found)
+
+    def _extend(self, part_id: str, now_s: float) -> None:
+        for crash in self._crashes.values():
+            recent = now_s - crash.crashed_s <= MIN_TIME_CHANGE_S
+            if part_id in crash.depths and not recent:
+                crash.crashed_s = now_s
+
+    def _assign_blame(self, now_s: float) -> frozenset[str]:
+        expired = [
+            incarnation
+            for incarnation, crash in self._crashes.items()
+            if now_s - crash.crashed_s >= EXPIRY_S
+        ]
+        for incarnation in expired:
+            self._crashes.pop(incarnation)
+        unexplained = [
+            {
+                part_id: depth
+                for part_id, depth in crash.depths.items()
+                if not self.is_harmless(part_id, now_s)
+            }
+            for crash in self._crashes.values()
+        ]
+        blamed = set()
+        part_id = _find_most_common(unexplained)
+        while part_id is not None:
+            blamed.add(part_id)
+            unexplained = [each for each in unexplained if part_id not in each]
+            part_id = _find_most_common(unexplained)
+        return frozenset(blamed)
+
+
+def _find_most_common(crashes: Iterable[dict[str, int]]) -> str | None:
+    counts: Counter[str] = Counter()
+    depths: dict[str, int] = {}
+    for crash in crashes:
+        counts.update(crash.keys())
+        depths.update(crash)
+    if not counts:
+        return None
+    # Of parts that were always together, the deepest is the most specific.
+    found = max(counts, key=lambda each: (counts[each], depths[each], each))
+    return found if counts[found] >= CRASHES_TO_BLOCK else None
--- /dev/null
+++ b/bamboodeck/gateway/suspect_sharing.py
@@ -0,0 +1,93 @@
+"""Tell the other hosts which prompt parts were on engines that broke off.
+
+Load pattern: requests with a part that crashes engines come at any host, one
+after the other, so a host alone sees too few crashes to tell it from the parts
+beside it. What a host saw is published for some seconds, since messages may be
+lost. A host that knows a reported part to be harmless answers once.
+"""
+
+from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.peer_messages import CrashedParts, SuspectUpdate
+from bamboodeck.gateway.suspect_parts import EngineCrash, SuspectPart
+
+# How long a crash is published by the host that saw it.
+PUBLISH_S = 5.0
+# How often the crashes of blamed parts are published again, for hosts that have
+# started since.
+REPUBLISH_PERIOD_S = 2.0
+# Bounds a message to what fits a datagram.
+MAX_PUBLISHED_CRASHES = 20
+MAX_PUBLISHED_PARTS = 200
+
+_MILLISECONDS_PER_S = 1000
+
+
+class SuspectSharing:
+    """Build and apply the messages about suspected parts."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        """Start without reports."""
+        self._context = context
+        self._own: list[tuple[float, EngineCrash]] = []
+        # Reported parts that this host knows to be harmless.
+        self._harmless: dict[str, None] = {}
+        self._republished_s = 0.0
+
+    def report(self, crash: EngineCrash) -> None:
+        """Publish the suspects of a crash that this host saw."""
+        until_s = self._context.now_s() + PUBLISH_S
+        self._own.append((until_s, crash))
+
+    def build_update(self, *, is_first: bool) -> SuspectUpdate | None:
+        """Return what to publish now; `is_first` is set on one host a zone."""
+        now_s = self._context.now_s()
+        self._own = [each for each in self._own if each[0] > now_s]
+        crashes = [crash for _, crash in self._own[-MAX_PUBLISHED_CRASHES:]]
+        if is_first and now_s - self._republished_s >= REPUBLISH_PERIOD_S:
+            self._republished_s = now_s
+            suspects = self._context.suspect_parts
+            blamed = suspects.list_blamed(now_s)
+            crashes.extend(
+                suspects.list_crashes(blamed)[-MAX_PUBLISHED_CRASHES:],
+            )
+        harmless = tuple(self._harmless)[:MAX_PUBLISHED_PARTS]
+        self._harmless.clear()
+        if not (crashes or harmless):
+            return None
+        return SuspectUpdate(
+            tuple(self._build_crash(crash, now_s) for crash in crashes),
+            harmless,
+        )
+
+    def apply(self, update: SuspectUpdate) -> None:
+        """Apply what another host has published."""
+        now_s = self._context.now_s()
+        suspects = self._context.suspect_parts
+        for part_id in update.harmless:
+            self._harmless.pop(part_id, None)
+        suspects.record_harmless(update.harmless, now_s)
+        for crash in update.crashes:
+            for part in crash.parts:
+                if suspects.is_harmless(part.part_id, now_s):
+                    self._harmless[part.part_id] = None
+            suspects.record_crash(
+                EngineCrash(
+                    crash.incarnation,
+                    now_s - crash.age_ms / _MILLISECONDS_PER_S,
+                    crash.parts,
+                ),
+                now_s,
+            )
+
+    def _build_crash(self, crash: EngineCrash, now_s: float) -> CrashedParts:
+        age_ms = (now_s - crash.crashed_s) * _MILLISECONDS_PER_S
+        suspects = self._context.suspect_parts
+        return CrashedParts(
+            crash.incarnation,
+            max(int(age_ms), 0),
+            tuple(
+                SuspectPart(part.part_id, part.depth)
+                for part in crash.parts
+                if not suspects.is_harmless(part.part_id, now_s)
+            ),
+        )
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -1,5 +1,7 @@
 """Admit requests, place them on engines, and sweep for timeouts."""
 
+from collections.abc import Callable
+
 from bamboodeck.gateway.attempt import Attempt
 from bamboodeck.gateway.candidates import Candidates, choose_service
 from bamboodeck.gateway.context import GatewayContext
@@ -26,6 +28,7 @@
 from bamboodeck.gateway.routes import NoRoute, Resolved, UnknownKey
 from bamboodeck.gateway.sessions import SessionUse
 from bamboodeck.gateway.stalls import AttemptProgress, detect_stall
+from bamboodeck.gateway.suspect_parts import EngineCrash
 from bamboodeck.http.relay_server import RelayExchange
 from bamboodeck.http.request_parser import ParsedRequest
 
@@ -52,15 +55,16 @@
         context: GatewayContext,
         codec: ExchangeCodec,
         rollouts: RolloutCoordinator,
+        share_crash: Callable[[EngineCrash], None],
     ) -> None:
-        """Start without requests."""
+        """Start without requests; `share_crash` tells the other hosts."""
         self.context = context
         self.codec = codec
         self._rollouts = rollouts
         # In the order of arrival, so that a run can be repeated.
         self.running: dict[Exchange, None] = {}
         self.candidates = Candidates(context, rollouts)
-        self.outcomes = OutcomeTracker(context, rollouts)
+        self.outcomes = OutcomeTracker(context, rollouts, share_crash)
         self._queued: dict[int, QueuedRequest] = {}
         self._placing_queued = False
         context.loop.scheduler.call_every(SWEEP_PERIOD_S, self._sweep)
@@ -97,6 +101,12 @@
 
     def place(self, exchange: Exchange) -> None:
         """Send the exchange to an engine, queue it, or refuse it."""
+        if self.outcomes.parts.find_blamed(exchange) is not None:
+            exchange.fail_unplaced(
+                'a part of the prompt has crashed engines',
+                exchange.retry_after_s(),
+            )
+            return
         candidates = self.candidates.find(exchange)
         available = [
             engine
