List prompt parts that crash engines in the store

Cause: the evidence lived in the hosts' memory only. Ruled out: publishing to hosts that start (all may restart at once, and the host that publishes may be one of them). Cost: two writes for each part.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -28,6 +28,8 @@
     EngineUnlisted,
     Fact,
     HistoryLost,
+    PartListed,
+    PartUnlisted,
     PeerListed,
     PeerUnlisted,
     Registry,
@@ -51,6 +53,7 @@
     ZoneRank,
     build_schedule,
 )
+from bamboodeck.gateway.suspect_parts import SuspectParts
 from bamboodeck.loop.scheduler import ScheduledCall
 
 # The delay after a failed call depends on the live hosts of the zone, so it is
@@ -382,6 +385,11 @@
         gone.extend(
             PeerUnlisted(host, revision) for host in self._hosts - hosts
         )
+        parts = {fact.part_id for fact in facts if isinstance(fact, PartListed)}
+        gone.extend(
+            PartUnlisted(part_id, revision)
+            for part_id in self._context.suspect_parts.listed - parts
+        )
         self._apply_changes((*facts, *gone), revision)
         self.complete = True
         self._rollouts.following = True
@@ -400,15 +408,21 @@
                 self._unlist_engine(fact)
             case RolloutOrdered() | RolloutStatusListed() | RolloutStepListed():
                 self._rollouts.apply(fact)
+            case PeerListed() | PeerUnlisted():
+                self._apply_peer(fact)
+            case PartListed() | PartUnlisted():
+                _apply_part(self._context.suspect_parts, fact)
+            case Unreadable(key=key, reason=reason, revision=revision):
+                self._context.metrics.count('document_skipped')
+                self._context.log.warn(DocumentSkipped(key, revision, reason))
+
+    def _apply_peer(self, fact: PeerListed | PeerUnlisted) -> None:
+        match fact:
             case PeerListed(host=host):
                 self._hosts.add(host)
-                self._on_peer(fact)
             case PeerUnlisted(host=host):
                 self._hosts.discard(host)
-                self._on_peer(fact)
-            case Unreadable(key=key, reason=reason, revision=revision):
-                self._context.metrics.count('document_skipped')
-                self._context.log.warn(DocumentSkipped(key, revision, reason))
+        self._on_peer(fact)
 
     def _apply_configuration(self, fact: ConfigurationListed) -> None:
         self._configuration_revision = max(
@@ -484,3 +498,14 @@
         self._context.log.emit(
             EngineGone(fact.engine_id, fact.reason, fact.revision),
         )
+
+
+def _apply_part(
+    suspects: SuspectParts,
+    fact: PartListed | PartUnlisted,
+) -> None:
+    match fact:
+        case PartListed(part_id=part_id):
+            suspects.add_listed(part_id)
+        case PartUnlisted(part_id=part_id):
+            suspects.drop_listed(part_id)
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -286,6 +286,13 @@
     engines: str
 
 
+class PartListingFailed(msgspec.Struct, frozen=True):
+    """Log that listing a blamed part in the store failed."""
+
+    part: str
+    reason: str
+
+
 class PeerSeen(msgspec.Struct, frozen=True):
     """Log that a host of the fleet was listed."""
 
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -14,6 +14,7 @@
 from bamboodeck.gateway.discovery import Discovery
 from bamboodeck.gateway.engines import PeerLoad
 from bamboodeck.gateway.membership import Membership, Peer
+from bamboodeck.gateway.part_listing import PartListing
 from bamboodeck.gateway.peer_link import PeerLink
 from bamboodeck.gateway.peer_messages import (
     CrashNotice,
@@ -61,6 +62,7 @@
             context.metrics,
         )
         self.suspects = SuspectSharing(context)
+        self._listing = PartListing(context, registry, self.members.find_rank)
         self._context = context
         self._rollouts: RolloutCoordinator | None = None
         self._discovery: Discovery | None = None
@@ -90,6 +92,7 @@
 
     def _publish(self) -> None:
         self._publish_count += 1
+        self._listing.check()
         members = self.members
         if not members.peers or self._rollouts is None:
             return
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -119,6 +119,20 @@
     revision: int
 
 
+class PartListed(msgspec.Struct, frozen=True, tag=True):
+    """Report a prompt part that crashes engines."""
+
+    part_id: str
+    revision: int
+
+
+class PartUnlisted(msgspec.Struct, frozen=True, tag=True):
+    """Report that a prompt part is no longer known to crash engines."""
+
+    part_id: str
+    revision: int
+
+
 class Unreadable(msgspec.Struct, frozen=True):
     """Report an unreadable document."""
 
@@ -136,6 +150,8 @@
     | RolloutStepListed
     | PeerListed
     | PeerUnlisted
+    | PartListed
+    | PartUnlisted
 )
 Fact = ConfigurationListed | ShareableFact | Unreadable
 
@@ -246,6 +262,14 @@
     def renew_host(self, on_written: OnWritten) -> None:
         """Renew the lease of this host's entry."""
 
+    def list_part(
+        self,
+        part_id: str,
+        lease_s: float,
+        on_written: OnWritten,
+    ) -> None:
+        """List a prompt part for a duration, unless it is listed already."""
+
 
 def facts_of_kind(facts: Iterable[Fact], kind: type) -> Iterable[Fact]:
     """Yield the facts of one kind."""
--- a/bamboodeck/gateway/suspect_parts.py
+++ b/bamboodeck/gateway/suspect_parts.py
@@ -26,6 +26,8 @@
 MIN_TIME_CHANGE_S = 5.0
 # How often blame is assigned anew without news, so that it expires.
 REASSIGN_PERIOD_S = 30.0
+# Longer ids don't fit a key of the registry.
+MAX_PART_ID_CHARS = 128
 MAX_CRASHES = 256
 MAX_PARTS_PER_CRASH = 100
 MAX_HARMLESS_PARTS = 20_000
@@ -63,6 +65,7 @@
     return tuple(
         SuspectPart(part.part_id, depth)
         for depth, part in enumerate(generation.parts[:-1])
+        if len(part.part_id) <= MAX_PART_ID_CHARS
     )
 
 
@@ -75,6 +78,8 @@
         self._harmless: OrderedDict[str, float] = OrderedDict()
         # When the latest request began that an engine has answered.
         self._alive: OrderedDict[str, float] = OrderedDict()
+        # The parts that a host of the fleet has blamed, by the registry.
+        self.listed: set[str] = set()
         self._blamed: frozenset[str] = frozenset()
         self._assigned_s = 0.0
         self._changed = False
@@ -144,6 +149,16 @@
         self._changed = True
         return suspects
 
+    def add_listed(self, part_id: str) -> None:
+        """Blame a part that the registry lists."""
+        self.listed.add(part_id)
+        self._changed = True
+
+    def drop_listed(self, part_id: str) -> None:
+        """Blame a part by its crashes alone."""
+        self.listed.discard(part_id)
+        self._changed = True
+
     def list_blamed(self, now_s: float) -> frozenset[str]:
         """Return the parts whose requests are to be refused."""
         if self._changed or now_s - self._assigned_s > REASSIGN_PERIOD_S:
@@ -161,7 +176,7 @@
 
         While requests with it come, its crashes don't expire.
         """
-        if not self._crashes:
+        if not (self._crashes or self.listed):
             return None
         blamed = self.list_blamed(now_s)
         for part in parts:
@@ -209,7 +224,12 @@
             }
             for crash in self._crashes.values()
         ]
-        blamed = set()
+        blamed = {
+            part_id
+            for part_id in self.listed
+            if not self.is_harmless(part_id, now_s)
+        }
+        unexplained = [each for each in unexplained if blamed.isdisjoint(each)]
         part_id = _find_most_common(unexplained)
         while part_id is not None:
             blamed.add(part_id)
--- a/bamboodeck/platform/registry.py
+++ b/bamboodeck/platform/registry.py
@@ -14,6 +14,8 @@
     LeaseLapsed,
     OnWritten,
     Outdated,
+    PartListed,
+    PartUnlisted,
     PeerListed,
     PeerUnlisted,
     RegistryFailed,
@@ -61,6 +63,7 @@
 _ALL_KEYS_PREFIX = ''
 _HOST_PREFIX = f'{protocol.OWN_PREFIX}hosts/'
 _STEP_PREFIX = f'{protocol.OWN_PREFIX}rollouts/'
+_PART_PREFIX = f'{protocol.OWN_PREFIX}parts/'
 
 
 class _WireHost(msgspec.Struct, frozen=True):
@@ -179,6 +182,27 @@
             lambda reply: on_written(_translate_write(reply)),
         )
 
+    def list_part(
+        self,
+        part_id: str,
+        lease_s: float,
+        on_written: OnWritten,
+    ) -> None:
+        """List a prompt part for a duration, unless it is listed already."""
+        key = f'{_PART_PREFIX}{part_id}'
+
+        def on_lease(reply: StoreReply) -> None:
+            if not isinstance(reply, LeaseGranted):
+                on_written(_translate_write(reply))
+                return
+            self._store.commit(
+                (Condition(key, 0),),
+                (Write(key, b'', reply.lease),),
+                lambda committed: on_written(_translate_write(committed)),
+            )
+
+        self._store.grant_lease(lease_s, on_lease)
+
     def _replace(
         self,
         key: str,
@@ -260,6 +284,8 @@
         host = key.removeprefix(_HOST_PREFIX)
         address = parse_address(wire.address)
         return PeerListed(host, address, wire.zone, revision)
+    if key.startswith(_PART_PREFIX):
+        return PartListed(key.removeprefix(_PART_PREFIX), revision)
     if key.startswith(_STEP_PREFIX):
         step = msgspec.json.decode(content, type=_WireStep)
         service = key.removeprefix(_STEP_PREFIX)
@@ -276,6 +302,8 @@
         return EngineUnlisted(engine_id, 'entry removed', revision)
     if key.startswith(_HOST_PREFIX):
         return PeerUnlisted(key.removeprefix(_HOST_PREFIX), revision)
+    if key.startswith(_PART_PREFIX):
+        return PartUnlisted(key.removeprefix(_PART_PREFIX), revision)
     return None
 
 
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -50,7 +50,7 @@
     return harness.ask(
         f'{CHAT}{number}',
         body=b'%d' % number,
-        app=number % HOSTS,
+        app=number % len(harness.apps),
         headers=headers,
     )
 
@@ -109,3 +109,32 @@
         for app in harness.apps:
             blamed = app.context.suspect_parts.list_blamed(app.context.now_s())
             assert blamed == {DEADLY}
+
+
+class TestRestart:
+    """Keep what was learned when hosts restart."""
+
+    def test_all_restarted(self, harness: GatewayHarness) -> None:
+        """Refuse the part on a host that starts after the crashes."""
+        crashed = crash_until_blamed(harness)
+        key = f'{protocol.OWN_PREFIX}parts/{DEADLY}'
+        harness.until(lambda: harness.store.read(key) is not None)
+        for app in harness.apps:
+            app.callers.stop_accepting()
+            app.fleet.link.close()
+        started = harness.start_host('host-later')
+        harness.apps = [started]
+        harness.until(lambda: started.context.routes is not None)
+        answer = ask(harness, HOSTS * 100, '0b', DEADLY)
+        assert answer.status == 503
+        assert count_crashed(harness) == crashed
+
+    def test_listed_once(self, harness: GatewayHarness) -> None:
+        """Write the entry by one host, not by each."""
+        crash_until_blamed(harness)
+        harness.until(
+            lambda: all(
+                app.context.suspect_parts.listed for app in harness.apps
+            ),
+        )
+        assert harness.store.calls[protocol.COMMIT_PATH] == HOSTS + 1
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -19,6 +19,7 @@
     Update,
 )
 from bamboodeck.gateway.store_polling import ZoneRank
+from bamboodeck.gateway.suspect_parts import SuspectParts
 from bamboodeck.http.relay_server import CallerLimits
 from bamboodeck.platform.store import CALL_TIMEOUT_S, WATCH_SLACK_S
 from tests.virtual_store import VirtualClock
@@ -256,6 +257,7 @@
             metrics=GatewayMetrics(),
             log=log,
             engines=EngineTable(),
+            suspect_parts=SuspectParts(),
             registry_confirmed_s=clock.now_s,
             now_s=clock.read_s,
         )
