Retry at an engine that was tried before on a new connection

Cause: stray answers are told apart by the id of the request, and both tries of one request have the same. Evidence: test_refusal_repeated_while_running fails on the code before (503 while the engine runs the payment). Copies for other requests were told apart already (test_refusal_of_another). Works since an earlier answer can't arrive on a connection that is new.

--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -200,6 +200,9 @@
         attempt.connection = self.context.client.stream(
             call,
             attempt,
+            # On a connection that it used before, a late copy of the earlier
+            # answer has the same request id.
+            fresh_connection=estimate.engine.entry.engine_id in self.tried,
             max_idle_s=MAX_IDLE_S if retryable else UNSAFE_MAX_IDLE_S,
         )
 
--- a/tests/gateway/test_hostile_engines.py
+++ b/tests/gateway/test_hostile_engines.py
@@ -12,6 +12,7 @@
     PAY,
     SHOP,
     SMALL,
+    build_configuration,
 )
 from bamboodeck.http.client import HttpClient
 from bamboodeck.http.messages import Address, Header, HttpCall
@@ -173,6 +174,57 @@
         assert [bench.ask(PAY).status for _ in range(2)] == [200, 502]
 
 
+class TestRepeatedRefusals:
+    """Never take an earlier refusal of a request for that of a later try."""
+
+    def test_refusal_repeated_while_running(self, bench: Bench) -> None:
+        """Don't run a payment twice, nor report it as not run."""
+        bench.store.put(
+            protocol.CONFIGURATION_KEY,
+            allow_attempts('pay', 3),
+        )
+        context = bench.apps[0].context
+        bench.until(
+            lambda: (
+                context.configuration is not None
+                and context.configuration.version == 2
+            ),
+        )
+        running = []
+
+        def script(call: Call) -> None:
+            if len(engine.calls) == 1:
+                refuse(call)
+                return
+            if call.connection is engine.calls[0].connection:
+                refuse(call)
+            running.append(call)
+            bench.loop.scheduler.call_after(0.2, lambda: answer_at_once(call))
+
+        engine = bench.add_raw(script)
+        answer = bench.ask(PAY)
+        assert answer.status == 200
+        assert len(running) == 1
+
+
+def refuse(call: Call) -> None:
+    """Say that the request has not run, and keep the connection."""
+    call.write_head(
+        f'{protocol.NOT_EXECUTED}: 1',
+        'Content-Length: 0',
+        status='503 Service Unavailable',
+    )
+
+
+def allow_attempts(route: str, attempts: int) -> bytes:
+    """Build a configuration that allows a route more attempts."""
+    document = msgspec.json.decode(build_configuration(2))
+    for each in document['routes']:
+        if each['name'] == route:
+            each['max_attempts'] = attempts
+    return msgspec.json.encode(document)
+
+
 def endless_header(call: Call) -> None:
     """Send headers without end."""
     call.write(b'HTTP/1.1 200 OK\r\n')
