Keep an error of the next engine out of a stream that has begun

Cause: an answer that isn't a stream was delivered as a plain one, whether or not a part of a stream had been sent; only server errors of less than 1 MB were checked. Evidence: 9 cases of TestBegunStreams fail on the code before (the caller reads 'HTTP/1.1 404' where a chunk is due); a stream without a length that ends inside an event was resumed before too. Now such an answer is one more failed attempt: the stream goes on at another engine or is aborted as incomplete.

--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -173,7 +173,8 @@
     def on_data(self, attempt: Attempt, chunk: bytes) -> None:
         """Forward the events that are complete."""
         if not self._streaming:
-            self._failure.on_data(attempt, chunk)
+            if not self._exchange.responder.started:
+                self._failure.on_data(attempt, chunk)
             return
         try:
             events = self._splitter.feed(chunk)
@@ -196,7 +197,7 @@
         """End the stream if it is complete."""
         exchange = self._exchange
         if not self._streaming:
-            self._failure.on_end(attempt, head)
+            self._end_failure(attempt, head)
             return
         if self._splitter.rest:
             exchange.handle_failure(
@@ -216,6 +217,19 @@
             return False
         return self._failure.forward_failure(attempt)
 
+    def _end_failure(self, attempt: Attempt, head: EngineHead) -> None:
+        exchange = self._exchange
+        if not exchange.responder.started:
+            self._failure.on_end(attempt, head)
+            return
+        # The caller has a part of the stream, so no other answer fits.
+        exchange.record_answered(attempt)
+        exchange.handle_failure(
+            attempt,
+            FailureCause.ERROR,
+            f'engine continued a stream with status {head.status}',
+        )
+
     def _begin(self, attempt: Attempt) -> None:
         if self._exchange.responder.started:
             return
--- a/tests/gateway/test_hostile_engines.py
+++ b/tests/gateway/test_hostile_engines.py
@@ -15,7 +15,7 @@
     build_configuration,
 )
 from bamboodeck.http.client import HttpClient
-from bamboodeck.http.messages import Address, Header, HttpCall
+from bamboodeck.http.messages import Address, FailureKind, Header, HttpCall
 from bamboodeck.platform import protocol
 from tests.gateway.harness import GatewayHarness
 from tests.gateway.raw_engine import CHUNK, Call, RawEngine, Script
@@ -225,6 +225,76 @@
     return msgspec.json.encode(document)
 
 
+class TestBegunStreams:
+    """Keep a stream that has begun free of other answers."""
+
+    @pytest.mark.parametrize(
+        'status',
+        ['404 Not Found', '400 Bad Request', '429 Too Many', '206 Partial'],
+    )
+    @pytest.mark.parametrize('size', [20, 2_000_000])
+    def test_error_text_in_stream(
+        self,
+        bench: Bench,
+        status: str,
+        size: int,
+    ) -> None:
+        """End it as incomplete if the next engine answers with an error."""
+        engine = bench.add_raw(
+            lambda call: break_then_fail(bench, call, status, size),
+            MODELS,
+        )
+        answer = bench.ask(CHAT, model=SMALL)
+        assert len(engine.calls) > 1
+        assert (answer.status, answer.body) == (200, b'id: 1\ndata: a\n\n')
+        # Neither whole nor followed by bytes that are no part of it.
+        assert answer.failure.kind is FailureKind.BROKEN
+
+    def test_resumed_after_error(self, bench: Bench) -> None:
+        """Resume it at a third engine."""
+
+        def script(call: Call) -> None:
+            if len(engine.calls) < 3:
+                break_then_fail(bench, call, '404 Not Found', 20)
+                return
+            call.write_head(EVENT_STREAM, 'Connection: close')
+            call.write(b'id: 2\ndata: b\n\n')
+            call.connection.close()
+
+        engine = bench.add_raw(script, MODELS)
+        answer = bench.ask(CHAT, model=SMALL)
+        assert answer.whole
+        assert answer.body == b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+    def test_closed_inside_event(self, bench: Bench) -> None:
+        """Resume a stream without a length that ends inside an event."""
+
+        def script(call: Call) -> None:
+            call.write_head(EVENT_STREAM, 'Connection: close')
+            if len(engine.calls) == 1:
+                call.write(b'id: 1\ndata: a\n\nid: 2\ndat')
+            else:
+                call.write(b'id: 2\ndata: b\n\n')
+            call.connection.close()
+
+        engine = bench.add_raw(script, MODELS)
+        answer = bench.ask(CHAT, model=SMALL)
+        assert answer.whole
+        assert answer.body == b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+
+def break_then_fail(bench: Bench, call: Call, status: str, size: int) -> None:
+    """Break the first stream off, and answer later calls with an error."""
+    if len(bench.raw[0].calls) == 1:
+        call.write_head(EVENT_STREAM, CHUNKED)
+        event = b'id: 1\ndata: a\n\n'
+        call.write(b'%x\r\n%b\r\n' % (len(event), event))
+        bench.loop.scheduler.call_after(0.05, call.connection.abort)
+        return
+    call.write_head(f'Content-Length: {size}', status=status)
+    call.write(b'x' * size)
+
+
 def endless_header(call: Call) -> None:
     """Send headers without end."""
     call.write(b'HTTP/1.1 200 OK\r\n')
