Keep requests off versions that earlier roll-outs have left behind

Cause: an order replaces the state of the roll-out before it, so all but the new target counted as old versions. The outage only delayed the roll-back towards the next order; two roll-outs further apart found the engines gone. Fix: what a roll-out leaves behind (the target if it was rolled back, the other versions if it was completed) is withdrawn until it is ordered again, and stands in the step's record, for hosts that restart. Evidence: test_session_moved_to_rolled_back_version fails on the code before. Ruled out: hosts with an older step (all saw v3 within 0.1 s of each other) and sessions without a known version (the ones that broke had one). Class: state that a new order replaces with all it had learned.

--- a/bamboodeck/gateway/candidates.py
+++ b/bamboodeck/gateway/candidates.py
@@ -54,6 +54,7 @@
             engine
             for engine in self._context.engines.of_service(exchange.service)
             if engine.is_available(now_s)
+            and not self._rollouts.is_withdrawn(engine)
         ]
         matching = [engine for engine in usable if _matches(engine, choice)]
         if not (matching or choice.strict):
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -220,12 +220,16 @@
 
 
 class RolloutSeen(msgspec.Struct, frozen=True):
-    """Log an operator's order for a roll-out."""
+    """Log an operator's order for a roll-out.
+
+    Earlier roll-outs have left the withdrawn versions behind.
+    """
 
     service: str
     version: str
     duration_s: float
     revision: int
+    withdrawn: str
 
 
 class RolloutMoved(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -94,6 +94,8 @@
     step: int
     # Start of the roll-out, by the clock of the host that wrote its first step.
     began_unix_s: float
+    # The versions that earlier roll-outs of the service have left behind.
+    withdrawn: tuple[str, ...] = ()
 
 
 class RolloutStepListed(msgspec.Struct, frozen=True, tag=True):
--- a/bamboodeck/gateway/rollout_coordinator.py
+++ b/bamboodeck/gateway/rollout_coordinator.py
@@ -123,6 +123,8 @@
         self._slow_ratios: dict[str, SlowRatio] = {}
         self._statuses: dict[str, RolloutStatusListed] = {}
         self._steps: dict[str, RolloutStepListed] = {}
+        # By service, the versions that earlier roll-outs have left behind.
+        self._withdrawn: dict[str, set[str]] = {}
         context.loop.scheduler.call_every(TICK_S, self._tick)
 
     @property
@@ -149,12 +151,17 @@
         known = self._rollouts.get(order.service)
         if known is not None and known.order_revision >= fact.revision:
             return
+        withdrawn = self._withdrawn.setdefault(order.service, set())
+        if known is not None:
+            withdrawn |= self._list_left_behind(known)
+        withdrawn.discard(order.version)
         self._context.log.emit(
             RolloutSeen(
                 order.service,
                 order.version,
                 order.duration_s,
                 fact.revision,
+                ','.join(sorted(withdrawn)),
             ),
         )
         self.evidence = Evidence()
@@ -206,6 +213,9 @@
             return
         if fact.step.version != rollout.order.version:
             return
+        withdrawn = self._withdrawn.setdefault(service, set())
+        withdrawn.update(fact.step.withdrawn)
+        withdrawn.discard(rollout.order.version)
         rollout.step = max(rollout.step, fact.step.step)
         rollout.began_unix_s = fact.step.began_unix_s
         if rollout.learned_late:
@@ -242,6 +252,11 @@
             may_switch=rollout.step > 0,
         )
 
+    def is_withdrawn(self, engine: Engine) -> bool:
+        """Tell whether an earlier roll-out has left an engine's version."""
+        withdrawn = self._withdrawn.get(engine.entry.service)
+        return withdrawn is not None and engine.entry.version in withdrawn
+
     def pin_session(self, use: SessionUse) -> None:
         """Keep a session on its version during the trial."""
         rollout = self._rollouts.get(use.service)
@@ -313,6 +328,19 @@
         for rollout in self._rollouts.values():
             self._evaluate(rollout)
 
+    def _list_left_behind(self, rollout: Rollout) -> set[str]:
+        target = rollout.order.version
+        if rollout.bad or rollout.state is RolloutState.ROLLED_BACK:
+            return {target}
+        if rollout.state is not RolloutState.COMPLETED:
+            return set()
+        service = rollout.order.service
+        return {
+            engine.entry.version
+            for engine in self._context.engines.of_service(service)
+            if engine.entry.version != target
+        }
+
     def _list_engines(self, rollout: Rollout) -> ServiceEngines:
         trial = []
         baseline = []
@@ -434,6 +462,7 @@
                 order.version,
                 step,
                 rollout.began_unix_s,
+                tuple(sorted(self._withdrawn[order.service])),
             ),
             rollout.step_revision,
             on_written,
--- a/bamboodeck/platform/registry.py
+++ b/bamboodeck/platform/registry.py
@@ -75,6 +75,7 @@
     version: str
     step: int
     began_unix_s: float
+    withdrawn: tuple[str, ...] = ()
 
 
 class PlatformRegistry:
@@ -132,7 +133,12 @@
         """Write a roll-out step unless its key has changed meanwhile."""
         key = f'{_STEP_PREFIX}{step.service}'
         content = msgspec.json.encode(
-            _WireStep(step.version, step.step, step.began_unix_s),
+            _WireStep(
+                step.version,
+                step.step,
+                step.began_unix_s,
+                step.withdrawn,
+            ),
         )
         self._replace(key, content, replaced_revision, on_written)
 
@@ -290,7 +296,13 @@
         step = msgspec.json.decode(content, type=_WireStep)
         service = key.removeprefix(_STEP_PREFIX)
         return RolloutStepListed(
-            RolloutStep(service, step.version, step.step, step.began_unix_s),
+            RolloutStep(
+                service,
+                step.version,
+                step.step,
+                step.began_unix_s,
+                step.withdrawn,
+            ),
             revision,
         )
     return None
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -13,18 +13,19 @@
 )
 from bamboodeck.fakes.platform.engine import EngineFault
 from bamboodeck.gateway import fleet, store_polling
-from bamboodeck.gateway.model import Bounds, RolloutState
+from bamboodeck.gateway.model import Bounds, RolloutState, RolloutStatus
 from bamboodeck.gateway.peer_messages import PeerMessage, ZoneUpdate
 from bamboodeck.gateway.ports import EngineUnlisted
 from bamboodeck.gateway.rollout_coordinator import SESSION_SYNC_S
 from bamboodeck.gateway.rollouts import is_in_share, share_at
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.platform import protocol
-from bamboodeck.platform.documents import decode_status
+from bamboodeck.platform.documents import decode_status, encode_status
 from tests.gateway.harness import GatewayHarness
 
 HOSTS = 3
 STATUS_KEY = f'{protocol.STATUS_PREFIX}{MODELS}'
+STEP_KEY = f'{protocol.OWN_PREFIX}rollouts/{MODELS}'
 
 
 @pytest.fixture
@@ -175,6 +176,60 @@
         first.fleet.link.close()
 
 
+class TestVersionsAfterRollback:
+    """Keep requests off a version that was rolled back before."""
+
+    def order(self, harness: GatewayHarness, version: str) -> None:
+        """Order a roll-out of a version and wait until it runs."""
+        order = {'service': MODELS, 'target': version, 'duration_s': 40.0}
+        harness.store.put(
+            f'{protocol.ROLLOUT_PREFIX}{MODELS}',
+            msgspec.json.encode(order),
+        )
+        running = RolloutStatus(version, RolloutState.RUNNING)
+        harness.until(
+            lambda: (
+                harness.store.read(STATUS_KEY) == encode_status(running)
+                and f'version={version} step=0 state=running' in harness.log()
+            ),
+        )
+
+    def ask_sessions(self, harness: GatewayHarness) -> None:
+        """Ask in many sessions, each at two hosts."""
+        for number in range(40):
+            header = Header(protocol.SESSION, f'session-{number}')
+            for app in (0, len(harness.apps) - 1):
+                harness.ask(CHAT, model=SMALL, app=app, headers=(header,))
+
+    def test_session_moved_to_rolled_back_version(
+        self,
+        harness: GatewayHarness,
+    ) -> None:
+        """Keep sessions off it during the next roll-out, after restarts too."""
+        for engine_id in NEW:
+            harness.add_engine(engine_id, version='v2')
+        harness.until_engines(4)
+        self.order(harness, 'v2')
+        harness.store.put(
+            STATUS_KEY,
+            encode_status(RolloutStatus('v2', RolloutState.ROLLED_BACK)),
+        )
+        harness.until(
+            lambda: harness.log().count('state=rolled_back') >= HOSTS,
+        )
+        # The engines of the bad version are still listed.
+        harness.add_engine('model-5', version='v3')
+        harness.until_engines(5)
+        self.order(harness, 'v3')
+        self.ask_sessions(harness)
+        assert not any(harness.engines[each].runs for each in NEW)
+        harness.until(lambda: harness.store.read(STEP_KEY) is not None)
+        harness.start_host('host-later')
+        harness.until_engines(5)
+        self.ask_sessions(harness)
+        assert not any(harness.engines[each].runs for each in NEW)
+
+
 OLD = ('model-1', 'model-2')
 NEW = ('model-3', 'model-4')
 FAILING = (EngineFault.ERROR,) * 2
