Publish all requests that broke off with an engine

Callers would see more engines end than needed: a host published the last 20 broken requests, and the one with the deadly part may have been among others of the same engine. Found by reading the change. The crashes that a host saw are kept by engine, and a message is bounded by its parts. Evidence: test_many_requests_on_an_engine (60 requests, 20 published before).

--- a/bamboodeck/gateway/suspect_sharing.py
+++ b/bamboodeck/gateway/suspect_sharing.py
@@ -7,6 +7,10 @@
 answers once.
 """
 
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.peer_messages import (
     AliveNotice,
@@ -20,20 +24,28 @@
 # How often the crashes of blamed parts are published again, for hosts that have
 # started since.
 REPUBLISH_PERIOD_S = 2.0
-# Bounds a message to what fits a datagram.
-MAX_PUBLISHED_CRASHES = 20
+# Bound a message to what fits a datagram.
+MAX_PUBLISHED_ENGINES = 50
 MAX_PUBLISHED_PARTS = 200
 
 _MILLISECONDS_PER_S = 1000
 
 
+class _OwnCrash(msgspec.Struct, frozen=True):
+    crashed_s: float
+    # Until when it is published.
+    until_s: float
+    parts: tuple[SuspectPart, ...]
+
+
 class SuspectSharing:
     """Build and apply the messages about suspected parts."""
 
     def __init__(self, context: GatewayContext) -> None:
         """Start without reports."""
         self._context = context
-        self._own: list[tuple[float, EngineCrash]] = []
+        # What this host saw, by engine.
+        self._own: dict[str, _OwnCrash] = {}
         # Reported parts that this host knows to be harmless.
         self._harmless: dict[str, None] = {}
         # Engines that ran on after a crash was reported, and when.
@@ -42,26 +54,31 @@
 
     def report(self, crash: EngineCrash) -> None:
         """Publish the suspects of a crash that this host saw."""
-        until_s = self._context.now_s() + PUBLISH_S
-        self._own.append((until_s, crash))
+        known = self._own.get(crash.incarnation)
+        parts = crash.parts if known is None else (*known.parts, *crash.parts)
+        self._own[crash.incarnation] = _OwnCrash(
+            crash.crashed_s,
+            self._context.now_s() + PUBLISH_S,
+            tuple(dict.fromkeys(parts)),
+        )
 
     def build_update(self, *, is_first: bool) -> SuspectUpdate | None:
         """Return what to publish now; `is_first` is set on one host a zone."""
         now_s = self._context.now_s()
         self._clear_engines()
-        self._own = [
-            (until_s, crash)
-            for until_s, crash in self._own
-            if until_s > now_s and crash.incarnation not in self._alive
+        self._own = {
+            incarnation: crash
+            for incarnation, crash in self._own.items()
+            if crash.until_s > now_s and incarnation not in self._alive
+        }
+        crashes = [
+            EngineCrash(incarnation, crash.crashed_s, crash.parts)
+            for incarnation, crash in self._own.items()
         ]
-        crashes = [crash for _, crash in self._own[-MAX_PUBLISHED_CRASHES:]]
         if is_first and now_s - self._republished_s >= REPUBLISH_PERIOD_S:
             self._republished_s = now_s
             suspects = self._context.suspect_parts
-            blamed = suspects.list_blamed(now_s)
-            crashes.extend(
-                suspects.list_crashes(blamed)[-MAX_PUBLISHED_CRASHES:],
-            )
+            crashes.extend(suspects.list_crashes(suspects.list_blamed(now_s)))
         harmless = tuple(self._harmless)[:MAX_PUBLISHED_PARTS]
         self._harmless.clear()
         alive = tuple(
@@ -72,9 +89,9 @@
         if not (crashes or harmless or alive):
             return None
         return SuspectUpdate(
-            tuple(self._build_crash(crash, now_s) for crash in crashes),
+            tuple(self._build_crashes(crashes, now_s)),
             harmless,
-            alive[:MAX_PUBLISHED_CRASHES],
+            alive[:MAX_PUBLISHED_ENGINES],
         )
 
     def apply(self, update: SuspectUpdate) -> None:
@@ -116,17 +133,27 @@
             ):
                 self._alive[engine.incarnation] = engine.last_progress_s
 
-    def _build_crash(self, crash: EngineCrash, now_s: float) -> CrashedParts:
+    def _build_crashes(
+        self,
+        crashes: Iterable[EngineCrash],
+        now_s: float,
+    ) -> Iterator[CrashedParts]:
         suspects = self._context.suspect_parts
-        return CrashedParts(
-            crash.incarnation,
-            _age_ms(now_s, crash.crashed_s),
-            tuple(
-                SuspectPart(part.part_id, part.depth)
+        left = MAX_PUBLISHED_PARTS
+        for crash in crashes:
+            parts = [
+                part
                 for part in crash.parts
                 if not suspects.is_harmless(part.part_id, now_s)
-            ),
-        )
+            ]
+            age_ms = _age_ms(now_s, crash.crashed_s)
+            if parts and left > 0:
+                yield CrashedParts(
+                    crash.incarnation,
+                    age_ms,
+                    tuple(parts[:left]),
+                )
+            left -= len(parts)
 
 
 def _age_ms(now_s: float, happened_s: float) -> int:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -6,7 +6,11 @@
 
 from bamboodeck.fakes.platform.documents import CHAT, SMALL
 from bamboodeck.fakes.platform.engine import EngineBehaviour
-from bamboodeck.gateway.suspect_parts import CRASHES_TO_BLOCK
+from bamboodeck.gateway.suspect_parts import (
+    CRASHES_TO_BLOCK,
+    EngineCrash,
+    SuspectPart,
+)
 from bamboodeck.http.messages import Header
 from bamboodeck.platform import protocol
 from tests.gateway.harness import CallerAnswer, GatewayHarness
@@ -111,6 +115,26 @@
             assert blamed == {DEADLY}
 
 
+class TestSharing:
+    """Tell other hosts what was on an engine that crashed."""
+
+    def test_many_requests_on_an_engine(self, harness: GatewayHarness) -> None:
+        """Leave out none of the requests that broke off with an engine."""
+        first, *others = harness.apps
+        now_s = first.context.now_s()
+        for number in range(60):
+            part = SuspectPart(f'{number:x}', 1)
+            first.fleet.suspects.report(
+                EngineCrash('model-0/1', now_s, (part,)),
+            )
+        update = first.fleet.suspects.build_update(is_first=False)
+        assert len(update.crashes) == 1
+        assert len(update.crashes[0].parts) == 60
+        for other in others:
+            other.fleet.suspects.apply(update)
+            assert 'model-0/1' in other.context.suspect_parts.crashes
+
+
 class TestRestart:
     """Keep what was learned when hosts restart."""
 
