Run the test of lagging load reports on a clock of its own

Cause, from the code and a run: the stand-in renews its report at multiples of the lag (0.3 s) on the machine's monotonic clock, so the test failed whenever such an instant fell between its start of a request and its question. Ruled out: a longer lag, which only makes the failure rarer.

--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -5,14 +5,16 @@
 import msgspec
 import pytest
 
+from bamboodeck.environment import Environment
 from bamboodeck.fakes.engine.batch import TICK_S
 from bamboodeck.fakes.engine.generation import Generation
 from bamboodeck.fakes.engine.messages import ChatRequest, EngineSettings
 from bamboodeck.fakes.engine.server import ModelEngine
 from bamboodeck.fakes.engine.text import BAD_MARKER
 from bamboodeck.http.messages import HttpFailed, find_header
-from tests.fakes.peers import ANY_PORT, build_log, start_peer
+from tests.fakes.peers import ANY_PORT, Peer, build_log, start_peer
 from tests.http.looping import build_loop, run_until
+from tests.virtual_store import VirtualClock
 
 CHAT = '/v1/chat/completions'
 FAST = EngineSettings(
@@ -207,15 +209,18 @@
         lagging = EngineSettings(
             'e1', ('a@1',), first_token_s=60, load_lag_s=0.3
         )
-        engine, peer = start_engine(lagging)
+        # Reports are renewed at multiples of the lag on the loop's clock.
+        clock = VirtualClock(start_s=6.0)
+        loop = build_loop(Environment(monotonic_s=clock.read_s))
+        engine = ModelEngine(loop, ANY_PORT, lagging, build_log())
+        peer = Peer(loop, engine.stand_in.address)
         peer.stream(CHAT, build_chat())
-        run_until(peer.loop, lambda: bool(engine.batch.running))
-        before = peer.call('GET', '/load')
-        assert before['running'] == 0
-        run_until(
-            peer.loop,
-            lambda: peer.call('GET', '/load')['running'] == 1,
-        )
+        run_until(loop, lambda: bool(engine.batch.running))
+        clock.run(0.29)
+        assert peer.call('GET', '/load')['running'] == 0
+        clock.run(0.02)
+        loop.tick(0)
+        assert peer.call('GET', '/load')['running'] == 1
 
 
 class TestCacheEvents:
--- a/tests/http/looping.py
+++ b/tests/http/looping.py
@@ -9,9 +9,9 @@
 TIMEOUT_S = 20.0
 
 
-def build_loop() -> Loop:
+def build_loop(environment: Environment | None = None) -> Loop:
     """Build a loop whose iterations are run by the test."""
-    loop = Loop(Environment())
+    loop = Loop(environment or Environment())
     loop._running = True
     loop.tick(0)
     return loop
