Report an engine that broke off a few times, not in each period

Cause: each host whose request broke off with an engine published it 20 times in 5 s to the whole fleet, and went on after another host had said that the engine runs. An engine's requests come from many hosts, so the messages grow with the requests on it times the hosts. Change: a crash is published at 0, 0.25, 1 and 3 s after its last new part, and no longer once the engine is known to run. Why it still tells everyone: four messages must be lost in a row for a host to miss a report, two of them within the time in which a crash settles; blamed parts are published again every 2 s and listed in the store, as before. Ruled out: fewer recipients, as a part is learned from hosts of all zones.

--- a/bamboodeck/gateway/suspect_sharing.py
+++ b/bamboodeck/gateway/suspect_sharing.py
@@ -2,9 +2,10 @@
 
 Load pattern: requests with a part that crashes engines come at any host, one
 after the other, so a host alone sees too few crashes to tell it from the parts
-beside it. What a host saw is published for some seconds, since messages may be
-lost. A host that knows a reported part to be harmless, or the engine to run on,
-answers once.
+beside it. A crash is published a few times, since messages may be lost, but not
+in each period: in a large fleet the requests of one engine come from many
+hosts, and each of their messages reaches every host. A host that knows a
+reported part to be harmless, or the engine to run on, answers once.
 """
 
 from collections.abc import Iterable, Iterator
@@ -19,8 +20,8 @@
 )
 from bamboodeck.gateway.suspect_parts import EngineCrash, SuspectPart
 
-# How long a crash is published by the host that saw it.
-PUBLISH_S = 5.0
+# When a host publishes a crash that it saw, after it learned of its parts.
+PUBLISH_AFTER_S = (0.0, 0.25, 1.0, 3.0)
 # How often the crashes of blamed parts are published again, for hosts that have
 # started since.
 REPUBLISH_PERIOD_S = 2.0
@@ -33,9 +34,14 @@
 
 class _OwnCrash(msgspec.Struct, frozen=True):
     crashed_s: float
-    # Until when it is published.
-    until_s: float
     parts: tuple[SuspectPart, ...]
+    # When the last of the parts was added, and how often they were published.
+    reported_s: float
+    published: int = 0
+
+    def is_due(self, now_s: float) -> bool:
+        """Tell whether to publish the crash now."""
+        return now_s >= self.reported_s + PUBLISH_AFTER_S[self.published]
 
 
 class SuspectSharing:
@@ -55,26 +61,21 @@
     def report(self, crash: EngineCrash) -> None:
         """Publish the suspects of a crash that this host saw."""
         known = self._own.get(crash.incarnation)
-        parts = crash.parts if known is None else (*known.parts, *crash.parts)
+        known_parts = () if known is None else known.parts
+        parts = tuple(dict.fromkeys((*known_parts, *crash.parts)))
+        if parts == known_parts:
+            return
         self._own[crash.incarnation] = _OwnCrash(
             crash.crashed_s,
-            self._context.now_s() + PUBLISH_S,
-            tuple(dict.fromkeys(parts)),
+            parts,
+            self._context.now_s(),
         )
 
     def build_update(self, *, is_first: bool) -> SuspectUpdate | None:
         """Return what to publish now; `is_first` is set on one host a zone."""
         now_s = self._context.now_s()
         self._clear_engines()
-        self._own = {
-            incarnation: crash
-            for incarnation, crash in self._own.items()
-            if crash.until_s > now_s and incarnation not in self._alive
-        }
-        crashes = [
-            EngineCrash(incarnation, crash.crashed_s, crash.parts)
-            for incarnation, crash in self._own.items()
-        ]
+        crashes = list(self._take_due(now_s))
         if is_first and now_s - self._republished_s >= REPUBLISH_PERIOD_S:
             self._republished_s = now_s
             suspects = self._context.suspect_parts
@@ -102,10 +103,9 @@
             self._harmless.pop(part_id, None)
         suspects.record_harmless(update.harmless, now_s)
         for notice in update.alive:
-            suspects.record_alive(
-                notice.incarnation,
-                now_s - notice.age_ms / _MILLISECONDS_PER_S,
-            )
+            alive_s = now_s - notice.age_ms / _MILLISECONDS_PER_S
+            if suspects.record_alive(notice.incarnation, alive_s):
+                self._own.pop(notice.incarnation, None)
         for crash in update.crashes:
             for part in crash.parts:
                 if suspects.is_harmless(part.part_id, now_s):
@@ -132,6 +132,21 @@
                 engine.last_progress_s,
             ):
                 self._alive[engine.incarnation] = engine.last_progress_s
+                self._own.pop(engine.incarnation, None)
+
+    def _take_due(self, now_s: float) -> Iterator[EngineCrash]:
+        for incarnation, crash in tuple(self._own.items()):
+            if not crash.is_due(now_s):
+                continue
+            yield EngineCrash(incarnation, crash.crashed_s, crash.parts)
+            published = crash.published + 1
+            if published == len(PUBLISH_AFTER_S):
+                self._own.pop(incarnation)
+                continue
+            self._own[incarnation] = msgspec.structs.replace(
+                crash,
+                published=published,
+            )
 
     def _build_crashes(
         self,
