Look up the sender before listing a zone's hosts

Cause: each message that could be forwarded within the zone listed the zone's hosts by a walk over all hosts of the fleet, though most aren't forwarded. Ruled out: keeping lists by zone, as the walks for own messages are few. The behaviour is the same; tests/gateway passes.

--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -231,14 +231,11 @@
         message: ZoneUpdate | SessionUpdate | SuspectUpdate,
     ) -> None:
         # Only updates received directly from another zone are forwarded.
-        own_zone_peers = self.members.own_zone_peers()
-        if message.forwarded or any(
-            peer.host == host for peer in own_zone_peers
-        ):
+        if message.forwarded or self.members.is_in_own_zone(host):
             return
         self.link.send(
             msgspec.structs.replace(message, forwarded=True),
-            [peer.address for peer in own_zone_peers],
+            [peer.address for peer in self.members.own_zone_peers()],
         )
 
     def _merge(
--- a/bamboodeck/gateway/membership.py
+++ b/bamboodeck/gateway/membership.py
@@ -71,6 +71,11 @@
             hosts=len(live_peers) + 1,
         )
 
+    def is_in_own_zone(self, host: str) -> bool:
+        """Tell whether a host is a listed peer of this host's zone."""
+        peer = self.peers.get(host)
+        return peer is not None and peer.zone == self._context.settings.zone
+
     def own_zone_peers(self) -> list[Peer]:
         """Return the other hosts of this host's zone."""
         zone = self._context.settings.zone
