Record an engine whose stream ends within an event as broken off

An engine that crashes with a clean close, as a kernel sends for a process that ends, was so never blamed on the part that crashes it (BUDGET). Cause: the end of the stream's connection is first taken for the end of an answer; the delivery that found it broken had it retried without a record of the outcome, as only failures below it are recorded. Evidence: test_closed_stream_not_suspected failed before (no crash recorded, 3 attempts). Why it works: the break goes the way of a reset connection, which counts the failure, suspects the parts and retries. Elsewhere: an answer without its stamp is retried without a record too; it is complete, so no engine has crashed on it.

--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -10,7 +10,7 @@
     EventTooLargeError,
     StreamEvent,
 )
-from bamboodeck.http.messages import FailureKind
+from bamboodeck.http.messages import FailureKind, HttpFailed
 
 if TYPE_CHECKING:
     from bamboodeck.gateway.exchange import Exchange
@@ -200,10 +200,9 @@
             self._end_failure(attempt, head)
             return
         if self._splitter.rest:
-            exchange.handle_failure(
+            exchange.on_attempt_failed(
                 attempt,
-                FailureCause.BROKEN,
-                'stream ended within an event',
+                HttpFailed('stream ended within an event', True),
             )
             return
         self._begin(attempt)
--- a/tests/gateway/test_hostile_engines.py
+++ b/tests/gateway/test_hostile_engines.py
@@ -282,6 +282,25 @@
         assert answer.whole
         assert answer.body == b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 
+    @pytest.mark.parametrize('begun', [b'id: 1\nda'])
+    def test_closed_stream_not_suspected(
+        self,
+        bench: Bench,
+        begun: bytes,
+    ) -> None:
+        """Suspect the prompt parts of a stream that ends without an event."""
+
+        def script(call: Call) -> None:
+            call.write_head(EVENT_STREAM, 'Connection: close')
+            call.write(begun)
+            call.connection.close()
+
+        bench.add_raw(script, MODELS)
+        assert bench.ask(CHAT, model=SMALL).status == 502
+        suspects = bench.apps[0].context.suspect_parts
+        assert list(suspects.crashes) == ['raw-1/1']
+        assert bench.failure_rate() > 0
+
 
 def break_then_fail(bench: Bench, call: Call, status: str, size: int) -> None:
     """Break the first stream off, and answer later calls with an error."""
