Retry a stream whose connection closes before its first event

Cause: where only the close ends an answer, each close outside an event was taken for the end. Without any event there is nothing that it could end. Evidence: test_closed_before_first_event (nothing, a comment) and test_closed_stream_not_suspected failed before: one call of the engine, 200 with no body. Ruled out: to break off every such stream, as one may end with its connection after an event; to retry all empty streams, as a length of 0 is the engine's own word (test_empty_stream_with_length passed before and after). Why it works: nothing of the answer was sent on, so it can be run again within its attempts; at the last one the caller gets 502. A caller, or the gateway, that resumes after the last event gets the same where the engine marks no end: that the stream was whole isn't known then.

--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -152,11 +152,14 @@
         self._splitter = EventSplitter()
         self._failure = BufferedDelivery(exchange)
         self._streaming = False
+        # Whether the engine of this attempt has sent an event.
+        self._has_events = False
 
     def start_attempt(self) -> None:
         """Reset the state, to resume after the last forwarded event."""
         self._splitter = EventSplitter()
         self._streaming = False
+        self._has_events = False
         self._failure.start_attempt()
 
     def on_head(self, attempt: Attempt, head: EngineHead) -> None:
@@ -181,6 +184,9 @@
         except EventTooLargeError:
             attempt.fail('event exceeds the size limit', _MALFORMED)
             return
+        self._has_events = self._has_events or any(
+            not event.is_comment for event in events
+        )
         events = self._take_new(events)
         if not events:
             return
@@ -199,11 +205,9 @@
         if not self._streaming:
             self._end_failure(attempt, head)
             return
-        if self._splitter.rest:
-            exchange.on_attempt_failed(
-                attempt,
-                HttpFailed('stream ended within an event', True),
-            )
+        broken = self._find_break(head)
+        if broken is not None:
+            exchange.on_attempt_failed(attempt, broken)
             return
         self._begin(attempt)
         exchange.record_answered(attempt)
@@ -216,6 +220,13 @@
             return False
         return self._failure.forward_failure(attempt)
 
+    def _find_break(self, head: EngineHead) -> HttpFailed | None:
+        if self._splitter.rest:
+            return HttpFailed('stream ended within an event', True)
+        if head.close_delimited and not self._has_events:
+            return HttpFailed('connection closed before an event', True)
+        return None
+
     def _end_failure(self, attempt: Attempt, head: EngineHead) -> None:
         exchange = self._exchange
         if not exchange.responder.started:
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -216,6 +216,8 @@
     stamped: bool = False
     # The model's confidence in its answer, from 0 to 100.
     confidence: int | None = None
+    # The body ends only when the connection closes, also that of a crash.
+    close_delimited: bool = False
 
 
 class HostSettings(msgspec.Struct, frozen=True):
--- a/bamboodeck/http/messages.py
+++ b/bamboodeck/http/messages.py
@@ -101,12 +101,22 @@
 HttpOutcome = HttpReply | HttpFailed
 
 
+_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+
+
 class ReplyHead(msgspec.Struct, frozen=True):
     """Represent the status and the headers of a response."""
 
     status: int
     headers: tuple[Header, ...]
 
+    @property
+    def close_delimited(self) -> bool:
+        """Tell whether the body ends only when the connection closes."""
+        return not any(
+            header.name.lower() in _FRAMING_HEADERS for header in self.headers
+        )
+
 
 class StreamSink(Protocol):
     """Receive a response as it arrives."""
--- a/bamboodeck/http/reply_parser.py
+++ b/bamboodeck/http/reply_parser.py
@@ -9,7 +9,6 @@
 # chunk extensions, and trailers.
 MAX_FRAMING_BYTES = 65_536
 
-_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _FIRST_FINAL_STATUS = 200
 
 
@@ -38,9 +37,7 @@
     @property
     def close_delimited(self) -> bool:
         """Return whether the body ends only when the connection closes."""
-        return self.head is not None and not any(
-            each.name.lower() in _FRAMING_HEADERS for each in self.head.headers
-        )
+        return self.head is not None and self.head.close_delimited
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the body bytes of received data; raise `ReplySyntaxError`."""
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -144,6 +144,7 @@
         misdirected=head.status == MISDIRECTED,
         stamped=protocol.STAMP.lower() in by_name,
         confidence=None if confidence is None else int(confidence),
+        close_delimited=head.close_delimited,
     )
 
 
--- a/tests/gateway/test_hostile_engines.py
+++ b/tests/gateway/test_hostile_engines.py
@@ -282,7 +282,26 @@
         assert answer.whole
         assert answer.body == b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 
-    @pytest.mark.parametrize('begun', [b'id: 1\nda'])
+    @pytest.mark.parametrize('begun', [b'', b': waiting\n\n', b'id: 1\nda'])
+    def test_closed_before_first_event(
+        self,
+        bench: Bench,
+        begun: bytes,
+    ) -> None:
+        """Retry a stream without a length that ends without an event."""
+
+        def script(call: Call) -> None:
+            call.write_head(EVENT_STREAM, 'Connection: close')
+            call.write(begun if len(engine.calls) == 1 else b'data: a\n\n')
+            call.connection.close()
+
+        engine = bench.add_raw(script, MODELS)
+        answer = bench.ask(CHAT, model=SMALL)
+        assert answer.whole
+        assert answer.body.endswith(b'data: a\n\n')
+        assert len(engine.calls) == 2
+
+    @pytest.mark.parametrize('begun', [b'', b'id: 1\nda'])
     def test_closed_stream_not_suspected(
         self,
         bench: Bench,
@@ -301,6 +320,18 @@
         assert list(suspects.crashes) == ['raw-1/1']
         assert bench.failure_rate() > 0
 
+    def test_empty_stream_with_length(self, bench: Bench) -> None:
+        """Forward an empty stream if its engine marks the end."""
+
+        def script(call: Call) -> None:
+            call.write_head(EVENT_STREAM, 'Content-Length: 0')
+
+        engine = bench.add_raw(script, MODELS)
+        answer = bench.ask(CHAT, model=SMALL)
+        assert answer.whole
+        assert (answer.status, answer.body) == (200, b'')
+        assert len(engine.calls) == 1
+
 
 def break_then_fail(bench: Bench, call: Call, status: str, size: int) -> None:
     """Break the first stream off, and answer later calls with an error."""
