Go on telling hosts that lost their entry what the store says

Cause: a host that is cut off from the store for long can't renew its lease. Its neighbours then took it off their lists and sent it nothing more, though they heard it four times a second; it went on to leave the store to its zone, as five or more others (cut off with it) still sent to it. So it called the store by itself 11 to 45 s later, or heard of the zone after its next renewal, each 5 s. Ruled out: stale reads, as the late hosts called nothing; hosts that retry by themselves each second, since the calls of a zone to a store that is away would grow with its hosts again. Why it works: entries serve to find hosts; one that is heard is a neighbour. It is removed when its messages end, a second later. Of cut-off hosts that hear each other, one asks the store each second, and tells the others.

--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -97,7 +97,7 @@
             self.log,
         )
         registry = platform.build_registry(self.context.client, settings)
-        self.fleet = Fleet(self.context, registry)
+        self.fleet = Fleet(self.context, registry, self._on_hosts_changed)
         members = self.fleet.members
         self.rollouts = RolloutCoordinator(
             self.context,
@@ -114,7 +114,7 @@
             self.context,
             registry,
             self.rollouts,
-            self._on_peer,
+            self.fleet.apply_peer,
             self._on_configuration,
             members.find_zone_rank,
         )
@@ -228,9 +228,7 @@
         self.output.drain()
         self.loop.finish()
 
-    def _on_peer(self, fact) -> None:
-        self.fleet.apply_peer(fact)
-        hosts = self.fleet.members.hosts
+    def _on_hosts_changed(self, hosts: int) -> None:
         self.traffic.candidates.hosts = hosts
         self.context.budget.hosts = hosts
 
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -7,6 +7,8 @@
 them to other zones kept work from spilling over in bursts.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 from bamboodeck.admission.poison import CrashReport
@@ -51,8 +53,14 @@
 class Fleet:
     """Exchange messages with the other hosts."""
 
-    def __init__(self, context: GatewayContext, registry: Registry) -> None:
-        """Bind the socket for messages between hosts."""
+    def __init__(
+        self,
+        context: GatewayContext,
+        registry: Registry,
+        on_hosts_changed: Callable[[int], None],
+    ) -> None:
+        """Bind the socket for messages; report the number of hosts."""
+        self._on_hosts_changed = on_hosts_changed
         self.members = Membership(context, registry)
         self.link = PeerLink(
             context.settings.host,
@@ -84,14 +92,13 @@
 
     def apply_peer(self, fact: PeerListed | PeerUnlisted) -> None:
         """Apply a change of the listed hosts."""
-        gone = self.members.apply(fact)
-        if gone is None:
-            return
-        self.link.forget(gone)
-        self._context.engines.drop_peer_loads(gone)
+        self.members.apply(fact)
+        self._remove_silent_peers()
+        self._on_hosts_changed(self.members.hosts)
 
     def _publish(self) -> None:
         self._publish_count += 1
+        self._remove_silent_peers()
         self._listing.check()
         members = self.members
         if not members.peers or self._rollouts is None:
@@ -115,6 +122,14 @@
         self._publish_suspects()
         self._publish_store_update()
 
+    def _remove_silent_peers(self) -> None:
+        removed = self.members.remove_silent()
+        for host in removed:
+            self.link.forget(host)
+            self._context.engines.drop_peer_loads(host)
+        if removed:
+            self._on_hosts_changed(self.members.hosts)
+
     def _publish_zone_update(
         self,
         own_zone_peers: list[Peer],
--- a/bamboodeck/gateway/membership.py
+++ b/bamboodeck/gateway/membership.py
@@ -38,6 +38,9 @@
     def __init__(self, context: GatewayContext, registry: Registry) -> None:
         """Start without peers."""
         self.peers: dict[str, Peer] = {}
+        # A host that is cut off from the store loses its entry while it serves
+        # on, and relies on what its peers send it.
+        self._unlisted: set[str] = set()
         self._context = context
         self._registry = registry
         self._listed = False
@@ -59,12 +62,9 @@
 
     def find_zone_rank(self) -> ZoneRank:
         """Return this host's rank among the live hosts of its zone."""
-        since_s = self._context.now_s() - PEER_TIMEOUT_S
         own = self._context.settings.host
         live_peers = [
-            peer
-            for peer in self.own_zone_peers()
-            if peer.last_seen_s >= since_s
+            peer for peer in self.own_zone_peers() if self._is_live(peer)
         ]
         return ZoneRank(
             rank=sum(peer.host < own for peer in live_peers),
@@ -92,8 +92,8 @@
         if peer is not None:
             peer.last_seen_s = self._context.now_s()
 
-    def apply(self, fact: PeerListed | PeerUnlisted) -> str | None:
-        """Apply a change of the listed hosts; return a removed host."""
+    def apply(self, fact: PeerListed | PeerUnlisted) -> None:
+        """Apply a change of the listed hosts."""
         own = self._context.settings.host
         match fact:
             case PeerListed(host=host) if host != own:
@@ -101,12 +101,26 @@
             case PeerUnlisted(host=host) if host == own:
                 self._listed = False
             case PeerUnlisted(host=host) if host in self.peers:
-                self.peers.pop(host)
-                self._context.log.emit(PeerGone(host, self.hosts))
-                return host
-        return None
+                self._unlisted.add(host)
+
+    def remove_silent(self) -> list[str]:
+        """Remove the hosts that are neither listed nor heard; return them."""
+        removed = [
+            host
+            for host in sorted(self._unlisted)
+            if not self._is_live(self.peers[host])
+        ]
+        for host in removed:
+            self._unlisted.remove(host)
+            self.peers.pop(host)
+            self._context.log.emit(PeerGone(host, self.hosts))
+        return removed
+
+    def _is_live(self, peer: Peer) -> bool:
+        return peer.last_seen_s >= self._context.now_s() - PEER_TIMEOUT_S
 
     def _add(self, fact: PeerListed) -> None:
+        self._unlisted.discard(fact.host)
         known = self.peers.get(fact.host)
         if known is not None and known.address == fact.address:
             return
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -294,6 +294,26 @@
             ),
         )
 
+    def test_configuration_late_after_lapsed_lease(
+        self,
+        zone: GatewayHarness,
+    ) -> None:
+        """Tell a host that lost its entry while the store refused it."""
+        late = zone.apps[-1]
+        # It makes no call of its own from here on.
+        late.discovery._calls.in_flight = True
+        zone.store.remove(f'{protocol.OWN_PREFIX}hosts/host-{HOSTS}')
+        zone.until(
+            lambda: (
+                not any(
+                    f'host-{HOSTS}' in app.discovery._hosts
+                    for app in zone.apps[:-1]
+                )
+            ),
+        )
+        zone.add_engine('model-1')
+        zone.until(lambda: len(tuple(late.context.engines)) == 1)
+
     @pytest.mark.parametrize('behind', [False, True])
     def test_configuration(self, zone: GatewayHarness, behind: bool) -> None:
         """Read the configuration oneself, also after a stale first read."""
