Judge slow versions by ratios that all hosts have in common

Cause: each host learned by itself above which ratio of observed to predicted time an answer is slow (the 0.85 quantile of its own answers), and the counts of all hosts were added. Class: measures that are added though each is taken by a yardstick of its own. Change: answers are counted above five ratios that are the same everywhere, and a version is slow if it is by any of them, at odds raised fivefold. Where the old version exceeds a ratio in more than 70% of its answers (or fails so often), nothing is concluded: a rise to 95% was assumed there for any version, as test_nearly_everything_fails and test_usual show. Ruled out: late counts (all hosts judged within 0.1 s); faster learning on each host, as the old version's load differs from the new one's and between hosts. Messages: `slower` is appended to the counts; hosts of the version before read the first ratio and skip the rest. TestSlowRatio went with the class that it tested; TestSlowRatios checks what counts as slow, and that usual slowness of any size is none.

--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -249,10 +249,11 @@
     version: str
     new_answers: int
     new_failed: int
-    new_slow: int
+    # Counts by ratio of observed to predicted time, as in `SLOW_RATIOS`.
+    new_slow: str
     old_answers: int
     old_failed: int
-    old_slow: int
+    old_slow: str
 
 
 class RolloutWritten(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/evidence.py
+++ b/bamboodeck/gateway/evidence.py
@@ -9,7 +9,11 @@
     EvidenceReport,
     TrialCounts,
 )
-from bamboodeck.gateway.rollouts import AnswerCounts, sum_counts
+from bamboodeck.gateway.rollouts import (
+    SLOW_RATIOS,
+    AnswerCounts,
+    sum_counts,
+)
 
 
 class PeerCounts(msgspec.Struct, frozen=True):
@@ -37,34 +41,22 @@
         self._own: dict[str, AnswerCounts] = {}
         self._peers: dict[str, PeerCounts] = {}
 
-    def record(self, engine_id: str, *, failed: bool, slow: bool) -> None:
-        """Count an answer."""
+    def record(
+        self,
+        engine_id: str,
+        *,
+        failed: bool,
+        time_ratio: float,
+    ) -> None:
+        """Count an answer by its ratio of observed to predicted time."""
         counts = self._own.get(engine_id, AnswerCounts())
-        self._own[engine_id] = AnswerCounts(
-            counts.answers + 1,
-            counts.failed + failed,
-            counts.slow + slow,
-        )
+        self._own[engine_id] = counts.add(failed=failed, time_ratio=time_ratio)
 
     def merge(self, host: str, report: EvidenceReport) -> None:
         """Replace the counts of another host since the order."""
         self._peers[host] = PeerCounts(
-            {
-                each.engine_id: AnswerCounts(
-                    each.answers,
-                    each.failed,
-                    each.slow,
-                )
-                for each in report.trial
-            },
-            {
-                each.service: AnswerCounts(
-                    each.answers,
-                    each.failed,
-                    each.slow,
-                )
-                for each in report.baseline
-            },
+            {each.engine_id: _read_counts(each) for each in report.trial},
+            {each.service: _read_counts(each) for each in report.baseline},
         )
 
     def build_report(
@@ -141,5 +133,19 @@
         )
 
 
-def _as_tuple(counts: AnswerCounts) -> tuple[int, int, int]:
-    return (counts.answers, counts.failed, counts.slow)
+def _as_tuple(
+    counts: AnswerCounts,
+) -> tuple[int, int, int, tuple[int, ...]]:
+    first, *others = counts.slow
+    return (counts.answers, counts.failed, first, tuple(others))
+
+
+def _read_counts(reported: TrialCounts | BaselineCounts) -> AnswerCounts:
+    slow = (reported.slow, *reported.slower)[: len(SLOW_RATIOS)]
+    # A host of another version may count by fewer ratios.
+    missing = len(SLOW_RATIOS) - len(slow)
+    return AnswerCounts(
+        reported.answers,
+        reported.failed,
+        slow + (0,) * missing,
+    )
--- a/bamboodeck/gateway/peer_messages.py
+++ b/bamboodeck/gateway/peer_messages.py
@@ -20,7 +20,9 @@
     engine_id: str
     answers: int
     failed: int
+    # Above the first ratio of `SLOW_RATIOS`, and above each of the others.
     slow: int
+    slower: tuple[int, ...] = ()
 
 
 class BaselineCounts(msgspec.Struct, frozen=True, array_like=True):
@@ -29,7 +31,9 @@
     service: str
     answers: int
     failed: int
+    # Above the first ratio of `SLOW_RATIOS`, and above each of the others.
     slow: int
+    slower: tuple[int, ...] = ()
 
 
 class EvidenceReport(msgspec.Struct, frozen=True, array_like=True):
--- a/bamboodeck/gateway/rollout_coordinator.py
+++ b/bamboodeck/gateway/rollout_coordinator.py
@@ -5,7 +5,7 @@
 Hosts delay their writes by their rank, so that usually only one host writes.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
@@ -31,7 +31,7 @@
 )
 from bamboodeck.gateway.rollouts import (
     LAST_STEP,
-    SlowRatio,
+    SLOW_RATIOS,
     VersionChoice,
     choose_version,
     clamp_elapsed_s,
@@ -120,7 +120,6 @@
         self._registry = registry
         self._find_rank = find_rank
         self._rollouts: dict[str, Rollout] = {}
-        self._slow_ratios: dict[str, SlowRatio] = {}
         self._statuses: dict[str, RolloutStatusListed] = {}
         self._steps: dict[str, RolloutStepListed] = {}
         # By service, the versions that earlier roll-outs have left behind.
@@ -296,16 +295,15 @@
 
         `time_ratio` is the ratio of its observed to its predicted time.
         """
-        service = engine.entry.service
-        rollout = self._rollouts.get(service)
-        slow_ratio = self._slow_ratios.setdefault(service, SlowRatio())
-        slow = time_ratio > slow_ratio.ratio
-        if rollout is None or engine.entry.version != rollout.order.version:
-            slow_ratio.add(time_ratio)
+        rollout = self._rollouts.get(engine.entry.service)
         if rollout is None or rollout.ended:
             return
-        self.evidence.record(engine.entry.engine_id, failed=failed, slow=slow)
-        if failed or slow:
+        self.evidence.record(
+            engine.entry.engine_id,
+            failed=failed,
+            time_ratio=time_ratio,
+        )
+        if failed or time_ratio > SLOW_RATIOS[0]:
             self._evaluate(rollout)
 
     def build_evidence_report(
@@ -368,10 +366,10 @@
                 rollout.order.version,
                 after.answers,
                 after.failed,
-                after.slow,
+                _join(after.slow),
                 before.answers,
                 before.failed,
-                before.slow,
+                _join(before.slow),
             ),
         )
 
@@ -478,3 +476,7 @@
                 revision,
             ),
         )
+
+
+def _join(counts: Iterable[int]) -> str:
+    return ','.join(map(str, counts))
--- a/bamboodeck/gateway/rollouts.py
+++ b/bamboodeck/gateway/rollouts.py
@@ -25,20 +25,19 @@
 FAILURE_RATE_RISE = 0.2
 SLOW_RATE_RISE = 0.25
 # Odds of 100 to 1, doubled because the test is repeated after every answer.
-BAD_LOG_ODDS = math.log(200)
+BAD_ODDS = 200
 MIN_BASELINE_RATE = 0.02
+MIN_SLOW_BASELINE_RATE = 0.15
+# Above this rate of the old version, a rise says nothing about the new one.
 MAX_BASELINE_RATE = 0.7
 MIN_BAD_ANSWERS = 3
 # With at least this many engines the worst one is left out, since a fault of a
 # single engine says nothing about the version.
 MIN_ENGINES_FOR_OUTLIER = 3
-# An answer is slow if its ratio of observed to predicted time is above this
-# quantile of the old version's answers.
-SLOW_QUANTILE = 0.85
-# Ratio assumed for the quantile before any answer.
-INITIAL_SLOW_RATIO = 1.7
-# Step of the quantile estimate, which settles after about 100 answers.
-QUANTILE_STEP = 0.04
+# Ratios of observed to predicted time above which an answer counts as slow. A
+# version is slow if it is slow by any of them. They are the same on all hosts,
+# whose counts are added, and each host has few answers.
+SLOW_RATIOS = (1.5, 2.0, 3.0, 4.0, 6.0)
 
 
 class AnswerCounts(msgspec.Struct, frozen=True):
@@ -46,22 +45,36 @@
 
     answers: int = 0
     failed: int = 0
-    slow: int = 0
+    # By ratio of `SLOW_RATIOS`.
+    slow: tuple[int, ...] = (0,) * len(SLOW_RATIOS)
+
+    def add(self, *, failed: bool, time_ratio: float) -> 'AnswerCounts':
+        """Return the counts with one more answer."""
+        return AnswerCounts(
+            self.answers + 1,
+            self.failed + failed,
+            tuple(
+                count + (time_ratio > ratio)
+                for count, ratio in zip(self.slow, SLOW_RATIOS, strict=True)
+            ),
+        )
+
 
+class RateTest(msgspec.Struct, frozen=True):
+    """Tell a harmful rate of bad answers from the baseline rate by odds."""
 
-class SlowRatio:
-    """Estimate the ratio of observed to predicted time of slow answers."""
+    min_baseline: float
+    rise: float
+    odds: float
 
-    def __init__(self) -> None:
-        """Start with the assumed ratio."""
-        self.ratio = INITIAL_SLOW_RATIO
 
-    def add(self, ratio: float) -> None:
-        """Update the estimate by an answer of the old version."""
-        if ratio > self.ratio:
-            self.ratio += QUANTILE_STEP * SLOW_QUANTILE
-        else:
-            self.ratio -= QUANTILE_STEP * (1 - SLOW_QUANTILE)
+FAILURE_TEST = RateTest(MIN_BASELINE_RATE, FAILURE_RATE_RISE, BAD_ODDS)
+# The odds are shared by the tests for all ratios.
+SLOW_TEST = RateTest(
+    MIN_SLOW_BASELINE_RATE,
+    SLOW_RATE_RISE,
+    BAD_ODDS * len(SLOW_RATIOS),
+)
 
 
 def share_at(step: int) -> float:
@@ -107,39 +120,38 @@
     """
     judged = list(new.values())
     if len(judged) >= MIN_ENGINES_FOR_OUTLIER:
-        worst = max(judged, key=lambda counts: counts.failed + counts.slow)
+        worst = max(judged, key=lambda counts: counts.failed + counts.slow[0])
         judged.remove(worst)
     after = sum_counts(judged)
     return is_rate_harmful(
         (after.answers, after.failed),
         (before.answers, before.failed),
-        MIN_BASELINE_RATE,
-        FAILURE_RATE_RISE,
-    ) or is_rate_harmful(
-        (after.answers, after.slow),
-        (before.answers, before.slow),
-        1 - SLOW_QUANTILE,
-        SLOW_RATE_RISE,
+        FAILURE_TEST,
+    ) or any(
+        is_rate_harmful(
+            (after.answers, slow),
+            (before.answers, old_slow),
+            SLOW_TEST,
+        )
+        for slow, old_slow in zip(after.slow, before.slow, strict=True)
     )
 
 
 def sum_counts(counts: Iterable[AnswerCounts]) -> AnswerCounts:
     """Add up counts."""
-    total = AnswerCounts()
-    for each in counts:
-        total = AnswerCounts(
-            total.answers + each.answers,
-            total.failed + each.failed,
-            total.slow + each.slow,
-        )
-    return total
+    summed = (AnswerCounts(), *counts)
+    by_ratio = zip(*(each.slow for each in summed), strict=True)
+    return AnswerCounts(
+        sum(each.answers for each in summed),
+        sum(each.failed for each in summed),
+        tuple(map(sum, by_ratio)),
+    )
 
 
 def is_rate_harmful(
     after: tuple[int, int],
     before: tuple[int, int],
-    smallest_rate: float,
-    rise: float,
+    test: RateTest,
 ) -> bool:
     """Test a harmful rate of bad answers against the baseline rate.
 
@@ -150,12 +162,13 @@
         return False
     old_answers, old_bad = before
     # A prior of one bad answer in 40, for when there are few old answers.
-    baseline = max((old_bad + 1) / (old_answers + 40), smallest_rate)
-    baseline = min(baseline, MAX_BASELINE_RATE)
-    harmful = baseline + rise
+    baseline = max((old_bad + 1) / (old_answers + 40), test.min_baseline)
+    if baseline > MAX_BASELINE_RATE:
+        return False
+    harmful = baseline + test.rise
     log_odds = bad * math.log(harmful / baseline)
     log_odds += (answers - bad) * math.log((1 - harmful) / (1 - baseline))
-    return log_odds >= BAD_LOG_ODDS
+    return log_odds >= math.log(test.odds)
 
 
 class VersionChoice(msgspec.Struct, frozen=True):
