--- a/tests/gateway/test_slow_versions.py
+++ b/tests/gateway/test_slow_versions.py
@@ -4,11 +4,15 @@
 from random import Random
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
+from bamboodeck.gateway.evidence import Evidence, ServiceEngines
 from bamboodeck.gateway.model import RolloutOrder
+from bamboodeck.gateway.peer_messages import EvidenceReport, TrialCounts
 from bamboodeck.gateway.ports import RolloutOrdered
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
+from bamboodeck.gateway.rollouts import SLOW_RATIOS
 
 SERVICE = 'models'
 OLD_ENGINES = 30
@@ -150,3 +154,29 @@
         fleet.old = LOADED
         fleet.run(15.0, answers_per_s=8.0, new=new)
         assert not fleet.judged
+
+
+class TestOtherVersions:
+    """Read the counts of hosts that run another version of the program."""
+
+    @pytest.mark.parametrize('slower', [(), (2,), (2, 2, 1, 1, 1, 1)])
+    def test_other_ratios(self, slower: tuple[int, ...]) -> None:
+        """Take ratios that a host doesn't count as never exceeded."""
+        evidence = Evidence()
+        counts = TrialCounts('engine-1', 10, 1, 3, slower)
+        evidence.merge('host-2', EvidenceReport((counts,)))
+        found = evidence.count_trial(
+            ServiceEngines(SERVICE, ('engine-1',), ()),
+        )['engine-1']
+        expected = (3, *slower, 0, 0, 0, 0)[: len(SLOW_RATIOS)]
+        assert (found.answers, found.failed) == (10, 1)
+        assert found.slow == expected
+
+    def test_more_fields(self) -> None:
+        """Decode a message with a field that is not known yet."""
+        encoded = msgspec.msgpack.encode(['engine-1', 10, 1, 3, (2, 1), 'new'])
+        decoded = msgspec.msgpack.decode(encoded, type=TrialCounts)
+        assert decoded == TrialCounts('engine-1', 10, 1, 3, (2, 1))
+        encoded = msgspec.msgpack.encode(['engine-1', 10, 1, 3])
+        decoded = msgspec.msgpack.decode(encoded, type=TrialCounts)
+        assert decoded == TrialCounts('engine-1', 10, 1, 3)
