--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -87,6 +87,21 @@
         assert zone.knowing() == hosts
 
 
+class TestFirstCutOff:
+    """Learn of changes by other hosts if the first one stays cut off."""
+
+    @pytest.mark.parametrize('hosts', [6, 12, 30])
+    def test_change_late_after_short_outage(self, hosts: int) -> None:
+        """Follow within the window after an outage that met all calls."""
+        zone = start_zone(hosts)
+        zone.serves = lambda rank: False
+        zone.clock.run(3.0)
+        zone.put_change()
+        zone.serves = lambda rank: rank > 0
+        zone.clock.run(BOUNDS.stability_s)
+        assert zone.knowing() == hosts
+
+
 class TestManyChanges:
     """Take many changes at once from the zone, not from the store."""
 
