Decode the limit that an engine names, and log how it is used

Engines name in their answers the requests a second that they take from all hosts; the header was read nowhere, and no line told what an engine gets. A text that is no number is logged and ignored. No decision changes.

--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -108,6 +108,7 @@
             self.context,
             platform.codec,
             self.rollouts,
+            self.fleet.limits,
             self.fleet.suspects.report,
         )
         self.discovery = Discovery(
@@ -271,6 +272,9 @@
             'engines_open': sum(
                 each.is_available(now_s) for each in context.engines
             ),
+            'engines_limited': sum(
+                each.limit is not None for each in context.engines
+            ),
             'running': len(self.traffic.running),
             'waiting': len(context.queue),
             'caller_connections': len(self.callers.connections),
--- a/bamboodeck/gateway/attempt.py
+++ b/bamboodeck/gateway/attempt.py
@@ -63,6 +63,7 @@
         self._owner = owner
         self._prefill_ms = estimate.prefill_ms
         self.engine.requests += 1
+        self.engine.record_sent(now_s)
         self.engine.prefill_ms += self._prefill_ms
 
     def record_progress(self, now_s: float) -> None:
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -4,12 +4,13 @@
 host counts its own load at once and learns that of other hosts with a delay.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
+from bamboodeck.gateway.limits import NamedLimit
 from bamboodeck.gateway.model import (
     EngineEntry,
     EngineState,
@@ -24,6 +25,8 @@
 # to restart, and at most for three heartbeats.
 INITIAL_PAUSE_S = 0.5
 MAX_PAUSE_S = 3.6
+# Requests to an engine are counted over this time.
+SENT_WINDOW_S = 4.0
 # Bounds the prompt parts tracked over all engines.
 MAX_CACHED_PARTS = 50_000
 
@@ -52,6 +55,9 @@
     # Set once the registry lists it as draining, for the whole incarnation.
     leaving: bool = False
     unlisted: bool = False
+    # The limit that it named, if any.
+    limit: NamedLimit | None = None
+    _sent_s: deque[float] = field(default_factory=deque)
 
     @property
     def incarnation(self) -> str:
@@ -67,6 +73,17 @@
         # After a pause, one request at a time probes whether it is back.
         return self.pauses == 0 or self.requests == 0
 
+    def record_sent(self, now_s: float) -> None:
+        """Record that this host sends a request to the engine."""
+        self._sent_s.append(now_s)
+        self.count_sent(now_s)
+
+    def count_sent(self, now_s: float) -> int:
+        """Return the requests that this host sent in the last seconds."""
+        while self._sent_s and self._sent_s[0] < now_s - SENT_WINDOW_S:
+            self._sent_s.popleft()
+        return len(self._sent_s)
+
     def total_requests(self, fresh_after_s: float) -> int:
         """Return the known running requests of all hosts."""
         return self.requests + sum(
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -51,6 +51,9 @@
 class OutcomeListener(Protocol):
     """Receive the outcomes of attempts."""
 
+    def on_head(self, exchange: 'Exchange', attempt: Attempt) -> None:
+        """Record what the head of an answer says of its engine."""
+
     def on_answered(self, exchange: 'Exchange', attempt: Attempt) -> None:
         """Record a complete answer, which may be a server error."""
 
@@ -326,6 +329,7 @@
                 FailureKind.MALFORMED,
             )
             return
+        self._owner.outcomes.on_head(self, attempt)
         if not head.not_run:
             self.may_have_run = True
         self.delivery.on_head(attempt, head)
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -15,6 +15,7 @@
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.discovery import Discovery
 from bamboodeck.gateway.engines import PeerLoad
+from bamboodeck.gateway.limit_tracker import LimitTracker
 from bamboodeck.gateway.membership import Membership, Peer
 from bamboodeck.gateway.part_listing import PartListing
 from bamboodeck.gateway.peer_link import PeerLink
@@ -70,6 +71,7 @@
             context.metrics,
         )
         self.suspects = SuspectSharing(context)
+        self.limits = LimitTracker(context)
         self._listing = PartListing(context, registry, self.members.find_rank)
         self._context = context
         self._rollouts: RolloutCoordinator | None = None
@@ -100,6 +102,7 @@
         self._publish_count += 1
         self._remove_silent_peers()
         self._listing.check()
+        self.limits.check()
         members = self.members
         if not members.peers or self._rollouts is None:
             return
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -218,6 +218,11 @@
     confidence: int | None = None
     # The body ends only when the connection closes, also that of a crash.
     close_delimited: bool = False
+    # The requests a second that the engine takes from all hosts together, for
+    # as long as its answers name it.
+    limit_per_s: float | None = None
+    # Names of the headers that couldn't be read.
+    unreadable: tuple[str, ...] = ()
 
 
 class HostSettings(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/outcomes.py
+++ b/bamboodeck/gateway/outcomes.py
@@ -5,9 +5,14 @@
 from bamboodeck.gateway.attempt import Attempt
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.engines import Engine
-from bamboodeck.gateway.events import EngineBack, EnginePaused
+from bamboodeck.gateway.events import (
+    EngineBack,
+    EnginePaused,
+    HeadersUnreadable,
+)
 from bamboodeck.gateway.exchange import Exchange
 from bamboodeck.gateway.fingerprints import CrashTracker
+from bamboodeck.gateway.limit_tracker import LimitTracker
 from bamboodeck.gateway.part_tracker import PartTracker
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
 from bamboodeck.gateway.suspect_parts import EngineCrash
@@ -25,14 +30,37 @@
         self,
         context: GatewayContext,
         rollouts: RolloutCoordinator,
+        limits: LimitTracker,
         share_crash: Callable[[EngineCrash], None],
     ) -> None:
         """Start without recorded outcomes."""
+        self._limits = limits
         self.crashes = CrashTracker(context)
         self.parts = PartTracker(context, share_crash)
         self._context = context
         self._rollouts = rollouts
 
+    def on_head(self, exchange: Exchange, attempt: Attempt) -> None:
+        """Record what the head of an answer says of its engine."""
+        head = attempt.head
+        if head.misdirected:
+            # Another engine answers.
+            return
+        if head.unreadable:
+            self._context.log.warn(
+                HeadersUnreadable(
+                    exchange.request.request_id,
+                    attempt.engine.entry.engine_id,
+                    ','.join(head.unreadable),
+                ),
+            )
+            return
+        self._limits.record_head(
+            attempt.engine,
+            head.limit_per_s,
+            attempt.began_s,
+        )
+
     def on_answered(self, exchange: Exchange, attempt: Attempt) -> None:
         """Record a complete answer, which may be a server error."""
         now_s = self._context.now_s()
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -14,6 +14,7 @@
 )
 from bamboodeck.gateway.exchange import Exchange
 from bamboodeck.gateway.fingerprints import fingerprint_of
+from bamboodeck.gateway.limit_tracker import LimitTracker
 from bamboodeck.gateway.model import CallerRequest, EngineHead
 from bamboodeck.gateway.models import (
     DraftAnswer,
@@ -55,6 +56,7 @@
         context: GatewayContext,
         codec: ExchangeCodec,
         rollouts: RolloutCoordinator,
+        limits: LimitTracker,
         share_crash: Callable[[EngineCrash], None],
     ) -> None:
         """Start without requests; `share_crash` tells the other hosts."""
@@ -64,7 +66,12 @@
         # In the order of arrival, so that a run can be repeated.
         self.running: dict[Exchange, None] = {}
         self.candidates = Candidates(context, rollouts)
-        self.outcomes = OutcomeTracker(context, rollouts, share_crash)
+        self.outcomes = OutcomeTracker(
+            context,
+            rollouts,
+            limits,
+            share_crash,
+        )
         self._queued: dict[int, QueuedRequest] = {}
         self._placing_queued = False
         context.loop.scheduler.call_every(SWEEP_PERIOD_S, self._sweep)
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -129,6 +129,9 @@
     confidence = _parse_number(by_name.get(protocol.CONFIDENCE.lower()))
     if confidence is not None and not 0 <= confidence <= _MAX_CONFIDENCE:
         confidence = None
+    limit = by_name.get(protocol.SERVER_LIMIT.lower())
+    limit_per_s = _parse_number(limit)
+    limit_unreadable = limit is not None and limit_per_s is None
     return EngineHead(
         status=head.status,
         headers=tuple(
@@ -145,6 +148,8 @@
         stamped=protocol.STAMP.lower() in by_name,
         confidence=None if confidence is None else int(confidence),
         close_delimited=head.close_delimited,
+        limit_per_s=limit_per_s,
+        unreadable=(protocol.SERVER_LIMIT,) if limit_unreadable else (),
     )
 
 
