Show in tests that hosts exceed the limits of engines

Three hosts send more than an engine takes: first runs, second runs on larger models, and retries after another engine's failures. The bound is the users' (one and a half times the limit in 4 s, and 5), counted from half a second after the engine's first answer. Seen on this code: 150, 291 and 150 where 17 are allowed. Ruled out by the new lines: that the header arrives late, or that only second runs exceed the limit. The stand-in engine names a limit.

--- a/bamboodeck/fakes/platform/engine.py
+++ b/bamboodeck/fakes/platform/engine.py
@@ -58,6 +58,8 @@
     confidences: dict[str, int] = {}
     # The engine crashes when it begins to answer a request with this part.
     deadly_part: str | None = None
+    # Named in all answers: the requests a second that the engine takes.
+    limit_per_s: float | None = None
 
 
 class PlatformEngineFake:
@@ -75,6 +77,8 @@
         self.behaviour = behaviour or EngineBehaviour()
         self.faults: deque[EngineFault] = deque()
         self.runs: list[EngineRun] = []
+        # When requests arrived, rejected ones too, by the clock of its loop.
+        self.arrivals_s: list[float] = []
         self._loop = loop
         self._server = RelayServer(
             loop,
@@ -116,11 +120,13 @@
         if headers.get(protocol.EXPECT_INSTANCE.lower()) != self.engine_id:
             responder.respond(HTTPStatus.MISDIRECTED_REQUEST, (own_id,))
             return
+        self.arrivals_s.append(self._loop.scheduler.now_s())
+        stated = self._list_stated_headers()
         fault = self.faults.popleft() if self.faults else None
         if fault is EngineFault.SHED:
             not_run = Header(protocol.NOT_EXECUTED, '1')
             busy = HTTPStatus.SERVICE_UNAVAILABLE
-            responder.respond(busy, (own_id, not_run))
+            responder.respond(busy, (own_id, not_run, *stated))
             return
         run = EngineRun(
             request_id,
@@ -133,7 +139,7 @@
         self.runs.append(run)
         responder.on_aborted = lambda: _record_outcome(run, 'cancelled')
         answer_id = 'other' if fault is EngineFault.WRONG_ID else request_id
-        head = [Header(protocol.REQUEST_ID, answer_id)]
+        head = [Header(protocol.REQUEST_ID, answer_id), *stated]
         if fault is not EngineFault.NO_STAMP:
             head.append(Header(protocol.STAMP, f'stamp-{self.engine_id}'))
         if protocol.MODEL.lower() in headers:
@@ -141,6 +147,12 @@
         else:
             self._answer(run, responder, head, fault)
 
+    def _list_stated_headers(self) -> tuple[Header, ...]:
+        limit_per_s = self.behaviour.limit_per_s
+        if limit_per_s is None:
+            return ()
+        return (Header(protocol.SERVER_LIMIT, f'{limit_per_s:g}'),)
+
     def _answer(
         self,
         run: EngineRun,
