--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -16,7 +16,9 @@
     DocumentSkipped,
     EngineGone,
     EngineListed,
+    SnapshotIgnored,
     StoreCallFailed,
+    StoreHistoryLost,
     StoreLost,
     StoreRegained,
 )
@@ -247,17 +249,21 @@
         match reply:
             case Snapshot(facts=facts, revision=revision):
                 self._record_reply(revision)
-                # A snapshot older than the known state is ignored.
                 if revision >= self.revision:
                     self._apply_snapshot(facts, revision)
+                else:
+                    self._context.log.warn(
+                        SnapshotIgnored(revision, reply.era, self.revision),
+                    )
                 self._schedule_poll(0)
             case Update(facts=facts, revision=revision):
                 self._record_reply(revision)
                 if revision > self.revision:
                     self._apply_changes(facts, revision)
                 self._schedule_poll(self._schedule().pause_s if facts else 0)
-            case HistoryLost():
+            case HistoryLost(era=era):
                 self._context.metrics.count('history_lost')
+                self._context.log.warn(StoreHistoryLost(self.revision, era))
                 self._calls.begin(self._context.now_s())
                 self._registry.read_all(self._on_reply)
             case RegistryFailed(reason=reason):
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -69,6 +69,22 @@
     away_s: float
 
 
+class StoreHistoryLost(msgspec.Struct, frozen=True):
+    """Log that the store doesn't have the changes since a revision."""
+
+    revision: int
+    # Of the answer.
+    era: int
+
+
+class SnapshotIgnored(msgspec.Struct, frozen=True):
+    """Log a snapshot of the store that is older than the known state."""
+
+    revision: int
+    era: int
+    known_revision: int
+
+
 class ConfigurationApplied(msgspec.Struct, frozen=True):
     """Log a configuration that is now in force on this host."""
 
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -163,6 +163,8 @@
 
     facts: tuple[Fact, ...]
     revision: int
+    # Rises when the store is restored from a copy, which begins a new history.
+    era: int = 0
 
 
 class Update(msgspec.Struct, frozen=True):
@@ -170,11 +172,14 @@
 
     facts: tuple[Fact, ...]
     revision: int
+    era: int = 0
 
 
 class HistoryLost(msgspec.Struct, frozen=True):
     """Report that changes were missed, so a snapshot has to be read."""
 
+    era: int = 0
+
 
 class RegistryFailed(msgspec.Struct, frozen=True):
     """Report that the store didn't answer."""
@@ -189,6 +194,7 @@
     """Report that a write succeeded."""
 
     revision: int
+    era: int = 0
 
 
 class Outdated(msgspec.Struct, frozen=True):
--- a/bamboodeck/platform/protocol.py
+++ b/bamboodeck/platform/protocol.py
@@ -22,6 +22,7 @@
 NOT_EXECUTED = 'X-Bamboodeck-Not-Executed'
 CONFIDENCE = 'X-Bamboodeck-Confidence'
 RETRY_AFTER = 'Retry-After'
+STORE_ERA = 'Store-Era'
 SERVER_LIMIT = 'Server-Limit'
 
 READY_PATH = '/api/ready'
--- a/bamboodeck/platform/registry.py
+++ b/bamboodeck/platform/registry.py
@@ -225,12 +225,12 @@
 
 def _translate(reply: StoreReply) -> RegistryReply:
     match reply:
-        case ItemsRead(items=items, revision=revision):
-            return Snapshot(tuple(_decode_facts(items)), revision)
-        case ChangesRead(changes=changes, revision=revision):
-            return Update(tuple(_decode_facts(changes)), revision)
-        case HistoryCompacted():
-            return HistoryLost()
+        case ItemsRead(items=items, revision=revision, era=era):
+            return Snapshot(tuple(_decode_facts(items)), revision, era)
+        case ChangesRead(changes=changes, revision=revision, era=era):
+            return Update(tuple(_decode_facts(changes)), revision, era)
+        case HistoryCompacted(era=era):
+            return HistoryLost(era)
         case StoreFailed(reason=reason):
             return RegistryFailed(reason)
     return RegistryFailed(f'unexpected {type(reply).__name__}')
@@ -238,8 +238,8 @@
 
 def _translate_write(reply: StoreReply) -> WriteReply:
     match reply:
-        case Committed(revision=revision):
-            return Written(revision)
+        case Committed(revision=revision, era=era):
+            return Written(revision, era)
         case LeaseGranted():
             return Written(0)
         case Conflict():
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import math
+import re
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import quote
@@ -17,6 +18,7 @@
     HttpFailed,
     HttpOutcome,
     HttpReply,
+    find_header,
 )
 from bamboodeck.platform import protocol
 
@@ -28,6 +30,8 @@
 WATCH_SLACK_S = 1.0
 
 _MILLISECONDS_PER_S = 1000
+# Stores that can't be restored state no era.
+_ERA = re.compile('[0-9]{1,15}')
 _JSON = (Header('Content-Type', 'application/json'),)
 _OK = 200
 _NOT_FOUND = 404
@@ -61,6 +65,7 @@
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
 
 class ChangesRead(msgspec.Struct, frozen=True):
@@ -68,16 +73,21 @@
 
     changes: tuple[Change, ...]
     revision: int
+    # Counts how often the store was restored from a copy.
+    era: int = 0
 
 
 class HistoryCompacted(msgspec.Struct, frozen=True):
-    """Report that the store no longer keeps the changes since a revision."""
+    """Report that the store doesn't have the changes since a revision."""
+
+    era: int = 0
 
 
 class Committed(msgspec.Struct, frozen=True):
     """Report that a commit was applied."""
 
     revision: int
+    era: int = 0
 
 
 class Conflict(msgspec.Struct, frozen=True):
@@ -173,6 +183,7 @@
     on_reply: OnReply
     items: list[Item] = msgspec.field(default_factory=list)
     revision: float = math.inf
+    era: int | None = None
 
 
 class PlatformStore:
@@ -214,7 +225,7 @@
             if reply is None:
                 reply = _decode_changes(outcome)
             elif _status_of(outcome) == _GONE:
-                reply = HistoryCompacted()
+                reply = HistoryCompacted(_read_era(outcome))
             self._deliver(reply, on_reply)
 
         self._call('GET', path, b'', on_outcome, wait_s + WATCH_SLACK_S)
@@ -296,6 +307,12 @@
             if isinstance(page, StoreFailed):
                 self._deliver(page, read.on_reply)
                 return
+            era = _read_era(outcome)
+            if read.era not in {None, era}:
+                reply = StoreFailed('restored between two pages')
+                self._deliver(reply, read.on_reply)
+                return
+            read.era = era
             self._append_page(read, page)
 
         self._call('GET', path, b'', on_outcome)
@@ -313,7 +330,7 @@
             self._read_page(read, page.entries[-1].key)
             return
         self._deliver(
-            ItemsRead(tuple(read.items), int(read.revision)),
+            ItemsRead(tuple(read.items), int(read.revision), read.era),
             read.on_reply,
         )
 
@@ -353,6 +370,11 @@
     return outcome.status if isinstance(outcome, HttpReply) else 0
 
 
+def _read_era(reply: HttpReply) -> int:
+    text = find_header(reply.headers, protocol.STORE_ERA) or ''
+    return int(text) if _ERA.fullmatch(text) else 0
+
+
 def _check_status(outcome: HttpOutcome) -> StoreFailed | None:
     match outcome:
         case HttpFailed(reason=reason, maybe_started=maybe_started):
@@ -374,12 +396,18 @@
     wire = _decode(outcome, _WireEvents)
     if isinstance(wire, StoreFailed):
         return wire
-    return ChangesRead(tuple(_decode_items(wire.events)), wire.store_revision)
+    return ChangesRead(
+        tuple(_decode_items(wire.events)),
+        wire.store_revision,
+        _read_era(outcome),
+    )
 
 
 def _decode_committed(outcome: HttpOutcome) -> StoreReply:
     wire = _decode(outcome, _WireCommitted)
-    return wire if isinstance(wire, StoreFailed) else Committed(wire.revision)
+    if isinstance(wire, StoreFailed):
+        return wire
+    return Committed(wire.revision, _read_era(outcome))
 
 
 def _decode_lease(outcome: HttpOutcome) -> StoreReply:
