Part following the store from applying what it says

What is in force (configuration, engines, hosts, parts) moves to known_state.py as it stands; position, calls and the zone's updates stay. No behaviour changes. The tests of discovery and of the fleet pass as before; two of them name the moved fields.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -1,9 +1,8 @@
 """Follow the store through outages, without applying older state.
 
 Load pattern: the store is down, slow, has lost its history, or is unreachable
-for some hosts. The known state stays in force meanwhile. Engines missing just
-after an outage get time to be listed again before they are dropped. In larger
-zones most changes arrive as updates of another host.
+for some hosts. The known state stays in force meanwhile. In larger zones most
+changes arrive as updates of another host.
 """
 
 import math
@@ -11,37 +10,23 @@
 
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.events import (
-    ConfigurationApplied,
-    ConfigurationIgnored,
-    DocumentSkipped,
-    EngineGone,
-    EngineListed,
     SnapshotIgnored,
     StoreCallFailed,
     StoreHistoryLost,
     StoreLost,
     StoreRegained,
 )
-from bamboodeck.gateway.model import EngineState
+from bamboodeck.gateway.known_state import KnownState
 from bamboodeck.gateway.peer_messages import StoreUpdate
 from bamboodeck.gateway.ports import (
-    ConfigurationListed,
-    EngineSeen,
-    EngineUnlisted,
     Fact,
     HistoryLost,
-    PartListed,
-    PartUnlisted,
     PeerListed,
     PeerUnlisted,
     Registry,
     RegistryFailed,
     RegistryReply,
-    RolloutOrdered,
-    RolloutStatusListed,
-    RolloutStepListed,
     Snapshot,
-    Unreadable,
     Update,
 )
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
@@ -55,14 +40,11 @@
     ZoneRank,
     build_schedule,
 )
-from bamboodeck.gateway.suspect_parts import SuspectParts
 from bamboodeck.loop.scheduler import ScheduledCall
 
 # The delay after a failed call depends on the live hosts of the zone, so it is
 # checked again this often.
 RECHECK_S = 0.5
-# Running engines are listed again about two seconds after an outage.
-RELIST_S = 2.5
 
 _MILLISECONDS_PER_S = 1000
 
@@ -90,22 +72,17 @@
         self._context = context
         self._registry = registry
         self._rollouts = rollouts
-        self._on_peer = on_peer
-        self._on_configuration = on_configuration
+        self._known = KnownState(context, rollouts, on_peer, on_configuration)
         self._find_zone_rank = find_zone_rank
         self._changes = ChangeLog()
-        self._hosts: set[str] = set()
-        self._configuration_revision = 0
         self._calls = StoreCalls()
         self._timer: ScheduledCall | None = None
         self._lost_since_s: float | None = None
-        self._relist_until_s = 0.0
         self._behind_since_s: float | None = None
         # When this host last asked its zone for changes.
         self._asked_s = -math.inf
         # When the store last answered another host of the zone.
         self._zone_confirmed_s = -math.inf
-        self._missing: dict[str, EngineUnlisted] = {}
 
     def start(self) -> None:
         """Read a snapshot, then poll for changes."""
@@ -148,7 +125,7 @@
         )
         if not self.complete or message.revision < self.revision:
             return False
-        known_revision = self._configuration_revision
+        known_revision = self._known.configuration_revision
         if message.configuration_revision > known_revision:
             self._read_configuration(message.configuration_revision)
         if message.after_revision > self.revision:
@@ -166,7 +143,7 @@
     def _should_ask_zone(self, message: StoreUpdate, now_s: float) -> bool:
         # Changes can't be applied before the configuration of their revision,
         # and each answer loads the publisher's link.
-        if message.configuration_revision > self._configuration_revision:
+        if message.configuration_revision > self._known.configuration_revision:
             return False
         if now_s - self._asked_s < CATCH_UP_S:
             return False
@@ -176,8 +153,8 @@
     def _apply_news(self, message: StoreUpdate, now_s: float) -> None:
         if self._lost_since_s is not None:
             self._on_store_regained(message.revision)
-        self._relist_until_s = max(
-            self._relist_until_s,
+        self._known.relist_until_s = max(
+            self._known.relist_until_s,
             now_s + message.relist_ms / _MILLISECONDS_PER_S,
         )
         if message.revision > self.revision:
@@ -190,9 +167,9 @@
     def _view(self) -> StoreView:
         return StoreView(
             self.revision,
-            self._configuration_revision,
+            self._known.configuration_revision,
             self._calls.last_reply_s,
-            self._relist_until_s,
+            self._known.relist_until_s,
         )
 
     def _may_ask_for_news(self) -> bool:
@@ -223,11 +200,11 @@
             self._calls.in_flight = False
             match reply:
                 case Snapshot(facts=facts):
-                    self._apply(facts)
+                    self._known.apply(facts)
                 case RegistryFailed(reason=reason):
                     self._on_store_lost(reason)
                     return
-            too_old = self._configuration_revision < wanted_revision
+            too_old = self._known.configuration_revision < wanted_revision
             if too_old and self._may_ask_for_news():
                 self._poll()
 
@@ -333,7 +310,7 @@
         if self.complete:
             now_s = self._context.now_s()
             self._changes.record(self.revision, newer, now_s)
-        self._apply(newer)
+        self._known.apply(newer)
         self.revision = revision
 
     def _on_store_lost(self, reason: str) -> None:
@@ -373,145 +350,11 @@
         away_s = now_s - self._lost_since_s
         self._lost_since_s = None
         if self.complete:
-            self._relist_until_s = now_s + RELIST_S
+            self._known.expect_relisting()
         self._context.log.emit(StoreRegained(revision, away_s))
 
     def _apply_snapshot(self, facts: tuple[Fact, ...], revision: int) -> None:
-        engine_ids = {
-            fact.entry.engine_id
-            for fact in facts
-            if isinstance(fact, EngineSeen)
-        }
-        hosts = {fact.host for fact in facts if isinstance(fact, PeerListed)}
-        gone: list[Fact] = [
-            EngineUnlisted(engine.entry.engine_id, 'not listed', revision)
-            for engine in self._context.engines
-            if engine.entry.engine_id not in engine_ids and not engine.unlisted
-        ]
-        gone.extend(
-            PeerUnlisted(host, revision) for host in self._hosts - hosts
-        )
-        parts = {fact.part_id for fact in facts if isinstance(fact, PartListed)}
-        gone.extend(
-            PartUnlisted(part_id, revision)
-            for part_id in self._context.suspect_parts.listed - parts
-        )
+        gone = self._known.list_gone(facts, revision)
         self._apply_changes((*facts, *gone), revision)
         self.complete = True
         self._rollouts.following = True
-
-    def _apply(self, facts: Iterable[Fact]) -> None:
-        for fact in facts:
-            self._apply_one(fact)
-
-    def _apply_one(self, fact: Fact) -> None:
-        match fact:
-            case ConfigurationListed():
-                self._apply_configuration(fact)
-            case EngineSeen():
-                self._upsert_engine(fact)
-            case EngineUnlisted():
-                self._unlist_engine(fact)
-            case RolloutOrdered() | RolloutStatusListed() | RolloutStepListed():
-                self._rollouts.apply(fact)
-            case PeerListed() | PeerUnlisted():
-                self._apply_peer(fact)
-            case PartListed() | PartUnlisted():
-                _apply_part(self._context.suspect_parts, fact)
-            case Unreadable(key=key, reason=reason, revision=revision):
-                self._context.metrics.count('document_skipped')
-                self._context.log.warn(DocumentSkipped(key, revision, reason))
-
-    def _apply_peer(self, fact: PeerListed | PeerUnlisted) -> None:
-        match fact:
-            case PeerListed(host=host):
-                self._hosts.add(host)
-            case PeerUnlisted(host=host):
-                self._hosts.discard(host)
-        self._on_peer(fact)
-
-    def _apply_configuration(self, fact: ConfigurationListed) -> None:
-        self._configuration_revision = max(
-            self._configuration_revision,
-            fact.revision,
-        )
-        configuration = fact.configuration
-        in_force = self._context.configuration
-        if in_force is not None and configuration.version <= in_force.version:
-            if configuration.version < in_force.version:
-                self._context.log.warn(
-                    ConfigurationIgnored(
-                        configuration.version,
-                        in_force.version,
-                        fact.revision,
-                    ),
-                )
-            return
-        self._context.apply_configuration(configuration)
-        self._context.log.emit(
-            ConfigurationApplied(
-                configuration.version,
-                fact.revision,
-                len(configuration.routes),
-                len(configuration.services),
-                len(configuration.customers_by_key or ()),
-            ),
-        )
-        self._on_configuration()
-
-    def _upsert_engine(self, fact: EngineSeen) -> None:
-        entry = fact.entry
-        self._missing.pop(entry.engine_id, None)
-        if not self._context.engines.upsert(entry):
-            return
-        self._context.log.emit(
-            EngineListed(
-                entry.engine_id,
-                entry.service,
-                str(entry.address),
-                entry.zone,
-                entry.version,
-                entry.state.value,
-                entry.started_unix_ms,
-                fact.revision,
-            ),
-        )
-        if entry.state is EngineState.DRAINING:
-            self._context.client.close_idle_to(entry.address)
-
-    def _unlist_engine(self, fact: EngineUnlisted) -> None:
-        left_s = self._relist_until_s - self._context.now_s()
-        if left_s <= 0:
-            self._drop(fact)
-            return
-        if fact.engine_id not in self._missing:
-            self._missing[fact.engine_id] = fact
-            self._context.loop.scheduler.call_after(
-                left_s,
-                lambda: self._drop_missing(fact),
-            )
-
-    def _drop_missing(self, fact: EngineUnlisted) -> None:
-        if self._missing.pop(fact.engine_id, None) is not None:
-            self._drop(fact)
-
-    def _drop(self, fact: EngineUnlisted) -> None:
-        if not self._context.engines.unlist(fact.engine_id):
-            return
-        engine = self._context.engines.find(fact.engine_id)
-        self._context.client.close_idle_to(engine.entry.address)
-        self._context.engines.remove_unlisted()
-        self._context.log.emit(
-            EngineGone(fact.engine_id, fact.reason, fact.revision),
-        )
-
-
-def _apply_part(
-    suspects: SuspectParts,
-    fact: PartListed | PartUnlisted,
-) -> None:
-    match fact:
-        case PartListed(part_id=part_id):
-            suspects.add_listed(part_id)
-        case PartUnlisted(part_id=part_id):
-            suspects.drop_listed(part_id)
--- /dev/null
+++ b/bamboodeck/gateway/known_state.py
@@ -0,0 +1,209 @@
+"""Apply what the store says to this host.
+
+Load pattern: the store was away, and some engines could not renew their
+entries. Engines missing just after an outage get time to be listed again before
+they are dropped, and the configuration never returns to an older version.
+"""
+
+from collections.abc import Callable, Iterable
+
+from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.events import (
+    ConfigurationApplied,
+    ConfigurationIgnored,
+    DocumentSkipped,
+    EngineGone,
+    EngineListed,
+)
+from bamboodeck.gateway.model import EngineState
+from bamboodeck.gateway.ports import (
+    ConfigurationListed,
+    EngineSeen,
+    EngineUnlisted,
+    Fact,
+    PartListed,
+    PartUnlisted,
+    PeerListed,
+    PeerUnlisted,
+    RolloutOrdered,
+    RolloutStatusListed,
+    RolloutStepListed,
+    Unreadable,
+)
+from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
+from bamboodeck.gateway.suspect_parts import SuspectParts
+
+# Running engines are listed again about two seconds after an outage.
+RELIST_S = 2.5
+
+
+class KnownState:
+    """Hold what is in force on this host."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        rollouts: RolloutCoordinator,
+        on_peer: Callable[[PeerListed | PeerUnlisted], None],
+        on_configuration: Callable[[], None],
+    ) -> None:
+        """Start without known state."""
+        self.configuration_revision = 0
+        # Until when missing engines may be listed again.
+        self.relist_until_s = 0.0
+        self._context = context
+        self._rollouts = rollouts
+        self._on_peer = on_peer
+        self._on_configuration = on_configuration
+        self.hosts: set[str] = set()
+        self._missing: dict[str, EngineUnlisted] = {}
+
+    def expect_relisting(self) -> None:
+        """Give missing engines the time to be listed again."""
+        self.relist_until_s = self._context.now_s() + RELIST_S
+
+    def list_gone(
+        self,
+        facts: Iterable[Fact],
+        revision: int,
+    ) -> list[Fact]:
+        """Return what is known, but missing from a snapshot."""
+        engine_ids = set()
+        hosts = set()
+        parts = set()
+        for fact in facts:
+            match fact:
+                case EngineSeen(entry=entry):
+                    engine_ids.add(entry.engine_id)
+                case PeerListed(host=host):
+                    hosts.add(host)
+                case PartListed(part_id=part_id):
+                    parts.add(part_id)
+        gone: list[Fact] = [
+            EngineUnlisted(engine.entry.engine_id, 'not listed', revision)
+            for engine in self._context.engines
+            if engine.entry.engine_id not in engine_ids and not engine.unlisted
+        ]
+        gone.extend(PeerUnlisted(host, revision) for host in self.hosts - hosts)
+        gone.extend(
+            PartUnlisted(part_id, revision)
+            for part_id in self._context.suspect_parts.listed - parts
+        )
+        return gone
+
+    def apply(self, facts: Iterable[Fact]) -> None:
+        """Apply facts in the order of their revisions."""
+        for fact in facts:
+            self._apply_one(fact)
+
+    def _apply_one(self, fact: Fact) -> None:
+        match fact:
+            case ConfigurationListed():
+                self._apply_configuration(fact)
+            case EngineSeen():
+                self._upsert_engine(fact)
+            case EngineUnlisted():
+                self._unlist_engine(fact)
+            case RolloutOrdered() | RolloutStatusListed() | RolloutStepListed():
+                self._rollouts.apply(fact)
+            case PeerListed() | PeerUnlisted():
+                self._apply_peer(fact)
+            case PartListed() | PartUnlisted():
+                _apply_part(self._context.suspect_parts, fact)
+            case Unreadable(key=key, reason=reason, revision=revision):
+                self._context.metrics.count('document_skipped')
+                self._context.log.warn(DocumentSkipped(key, revision, reason))
+
+    def _apply_peer(self, fact: PeerListed | PeerUnlisted) -> None:
+        match fact:
+            case PeerListed(host=host):
+                self.hosts.add(host)
+            case PeerUnlisted(host=host):
+                self.hosts.discard(host)
+        self._on_peer(fact)
+
+    def _apply_configuration(self, fact: ConfigurationListed) -> None:
+        self.configuration_revision = max(
+            self.configuration_revision,
+            fact.revision,
+        )
+        configuration = fact.configuration
+        in_force = self._context.configuration
+        if in_force is not None and configuration.version <= in_force.version:
+            if configuration.version < in_force.version:
+                self._context.log.warn(
+                    ConfigurationIgnored(
+                        configuration.version,
+                        in_force.version,
+                        fact.revision,
+                    ),
+                )
+            return
+        self._context.apply_configuration(configuration)
+        self._context.log.emit(
+            ConfigurationApplied(
+                configuration.version,
+                fact.revision,
+                len(configuration.routes),
+                len(configuration.services),
+                len(configuration.customers_by_key or ()),
+            ),
+        )
+        self._on_configuration()
+
+    def _upsert_engine(self, fact: EngineSeen) -> None:
+        entry = fact.entry
+        self._missing.pop(entry.engine_id, None)
+        if not self._context.engines.upsert(entry):
+            return
+        self._context.log.emit(
+            EngineListed(
+                entry.engine_id,
+                entry.service,
+                str(entry.address),
+                entry.zone,
+                entry.version,
+                entry.state.value,
+                entry.started_unix_ms,
+                fact.revision,
+            ),
+        )
+        if entry.state is EngineState.DRAINING:
+            self._context.client.close_idle_to(entry.address)
+
+    def _unlist_engine(self, fact: EngineUnlisted) -> None:
+        left_s = self.relist_until_s - self._context.now_s()
+        if left_s <= 0:
+            self._drop(fact)
+            return
+        if fact.engine_id not in self._missing:
+            self._missing[fact.engine_id] = fact
+            self._context.loop.scheduler.call_after(
+                left_s,
+                lambda: self._drop_missing(fact),
+            )
+
+    def _drop_missing(self, fact: EngineUnlisted) -> None:
+        if self._missing.pop(fact.engine_id, None) is not None:
+            self._drop(fact)
+
+    def _drop(self, fact: EngineUnlisted) -> None:
+        if not self._context.engines.unlist(fact.engine_id):
+            return
+        engine = self._context.engines.find(fact.engine_id)
+        self._context.client.close_idle_to(engine.entry.address)
+        self._context.engines.remove_unlisted()
+        self._context.log.emit(
+            EngineGone(fact.engine_id, fact.reason, fact.revision),
+        )
+
+
+def _apply_part(
+    suspects: SuspectParts,
+    fact: PartListed | PartUnlisted,
+) -> None:
+    match fact:
+        case PartListed(part_id=part_id):
+            suspects.add_listed(part_id)
+        case PartUnlisted(part_id=part_id):
+            suspects.drop_listed(part_id)
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -12,7 +12,8 @@
     build_configuration,
 )
 from bamboodeck.fakes.platform.store import StoreMode
-from bamboodeck.gateway import discovery, store_polling
+from bamboodeck.gateway import store_polling
+from bamboodeck.gateway.known_state import RELIST_S
 from bamboodeck.platform import protocol, store
 from tests.gateway.harness import GatewayHarness
 
@@ -84,7 +85,7 @@
         self.lose(harness)
         assert harness.ask(PAY).status == 200
         harness.relist('shop-1', SHOP, sequence=2)
-        harness.wait(discovery.RELIST_S + 0.5)
+        harness.wait(RELIST_S + 0.5)
         assert harness.ask(PAY).status == 200
         assert 'engine_gone' not in harness.log()
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -306,7 +306,7 @@
         zone.until(
             lambda: (
                 not any(
-                    f'host-{HOSTS}' in app.discovery._hosts
+                    f'host-{HOSTS}' in app.discovery._known.hosts
                     for app in zone.apps[:-1]
                 )
             ),
