--- a/bamboodeck/fakes/platform/store.py
+++ b/bamboodeck/fakes/platform/store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's store: keys, watches, leases, conditions."""
 
 import base64
+import copy
 import enum
 from collections.abc import Callable
 from http import HTTPStatus
@@ -58,6 +59,7 @@
         """Listen on an address; port 0 selects a free port."""
         self.mode = StoreMode.SERVES
         self.calls: dict[str, int] = {}
+        self.era = 1
         self._loop = loop
         self._store = RevisionedStore(MAX_VALUE_BYTES)
         self._pending_watches: list[_PendingWatch] = []
@@ -109,6 +111,22 @@
             pending.responder.abort()
         self._pending_watches.clear()
 
+    def take_copy(self) -> RevisionedStore:
+        """Return a copy to restore the store from."""
+        return copy.deepcopy(self._store)
+
+    def restore(self, saved: RevisionedStore) -> None:
+        """Replace all by a copy, which begins a new era."""
+        self._store = copy.deepcopy(saved)
+        self.era += 1
+        now_s = self._loop.scheduler.now_s()
+        for lease_id in tuple(self._store.leases):
+            self._store.renew(lease_id, now_s)
+        for pending in self._pending_watches:
+            pending.done = True
+            pending.responder.abort()
+        self._pending_watches.clear()
+
     def silence_connections(self) -> None:
         """Answer nothing on the open connections any more."""
         self._silent_connections = set(self._server.connections)
@@ -121,7 +139,7 @@
             case StoreMode.SILENT:
                 return
             case StoreMode.REFUSES:
-                responder.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+                self._refuse(responder, HTTPStatus.SERVICE_UNAVAILABLE)
                 return
         query = {
             name: texts[0] for name, texts in parse_qs(parsed.query).items()
@@ -139,7 +157,7 @@
             return
         answer = answers.get(parsed.path)
         if answer is None:
-            responder.respond(HTTPStatus.NOT_FOUND)
+            self._refuse(responder, HTTPStatus.NOT_FOUND)
             return
         answer()
 
@@ -170,8 +188,8 @@
 
     def _watch(self, query: dict[str, str], responder: RelayExchange) -> None:
         after = int(query['after'])
-        if after < self._compacted_revision:
-            responder.respond(HTTPStatus.GONE)
+        if not self._compacted_revision <= after <= self.revision:
+            self._refuse(responder, HTTPStatus.GONE)
             return
         pending = _PendingWatch(query.get('prefix', ''), after, responder)
         self._pending_watches.append(pending)
@@ -190,7 +208,7 @@
             return
         leases = {put.get('lease', 0) for put in change['puts']}
         if not leases <= {0, *self._store.leases}:
-            responder.respond(HTTPStatus.NOT_FOUND)
+            self._refuse(responder, HTTPStatus.NOT_FOUND)
             return
         self._store.next_revision()
         for put in change['puts']:
@@ -226,7 +244,7 @@
         now_s = self._loop.scheduler.now_s()
         lease = self._store.renew(lease_id, now_s)
         if lease is None:
-            responder.respond(HTTPStatus.NOT_FOUND)
+            self._refuse(responder, HTTPStatus.NOT_FOUND)
             return
         ttl_ms = int(lease.ttl_s * MILLISECONDS_PER_S)
         self._respond(responder, {'ttl_ms': ttl_ms})
@@ -276,7 +294,14 @@
         if self.mode is StoreMode.LOSES_ANSWERS:
             responder.abort()
             return
-        responder.respond(status, _JSON, msgspec.json.encode(answer))
+        headers = (*_JSON, self._era_header())
+        responder.respond(status, headers, msgspec.json.encode(answer))
+
+    def _refuse(self, responder: RelayExchange, status: int) -> None:
+        responder.respond(status, (self._era_header(),))
+
+    def _era_header(self) -> Header:
+        return Header(protocol.STORE_ERA, str(self.era))
 
 
 def _range_of(prefix: str) -> KeyRange:
