Follow a store that was restored from a copy

Cause: the known revision was compared with those of another history. Ruled out: versions held for older (no configuration_ignored), and the zone's updates (small zones publish none). Now a position is an era and a revision; a new era is read as a whole, and what is in force stays until newer state is written. Two tests of the store's client expect the era that the stand-in now states.

--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -266,6 +266,7 @@
             'configuration_version': (
                 context.configuration.version if context.configuration else 0
             ),
+            'registry_era': self.discovery.position.era,
             'registry_revision': self.discovery.revision,
             'registry_age_s': now_s - context.registry_confirmed_s,
             'hosts': self.fleet.members.hosts,
--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -2,7 +2,9 @@
 
 Load pattern: the store is down, slow, has lost its history, or is unreachable
 for some hosts. The known state stays in force meanwhile. In larger zones most
-changes arrive as updates of another host.
+changes arrive as updates of another host. A store that was restored from a copy
+gives out revisions again, so a position in its history has an era too; what the
+new history holds is read as a whole.
 """
 
 import math
@@ -10,19 +12,21 @@
 
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.events import (
-    SnapshotIgnored,
+    StoreAnswerIgnored,
     StoreCallFailed,
     StoreHistoryLost,
     StoreLost,
     StoreRegained,
+    StoreRestored,
 )
 from bamboodeck.gateway.known_state import KnownState
-from bamboodeck.gateway.peer_messages import StoreUpdate
+from bamboodeck.gateway.peer_messages import StoreQuery, StoreUpdate
 from bamboodeck.gateway.ports import (
     Fact,
     HistoryLost,
     PeerListed,
     PeerUnlisted,
+    Position,
     Registry,
     RegistryFailed,
     RegistryReply,
@@ -45,6 +49,8 @@
 # The delay after a failed call depends on the live hosts of the zone, so it is
 # checked again this often.
 RECHECK_S = 0.5
+# Stale reads may be this old.
+STALE_READ_S = 10.0
 
 _MILLISECONDS_PER_S = 1000
 
@@ -65,7 +71,7 @@
 
         `find_zone_rank` returns this host's rank in its zone.
         """
-        self.revision = 0
+        self.position = Position()
         self.complete = False
         # Publishes an update to the zone at once.
         self.on_regained: Callable[[], None] | None = None
@@ -83,6 +89,12 @@
         self._asked_s = -math.inf
         # When the store last answered another host of the zone.
         self._zone_confirmed_s = -math.inf
+        self._restored_s = -math.inf
+
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which this host knows the store."""
+        return self.position.revision
 
     def start(self) -> None:
         """Read a snapshot, then poll for changes."""
@@ -104,11 +116,17 @@
             return None
         return self._changes.build_update(self._view(), now_s)
 
-    def build_answer(self, after_revision: int) -> StoreUpdate | None:
+    def build_query(self) -> StoreQuery:
+        """Return the question for the changes that this host lacks."""
+        return StoreQuery(self.position.revision, self.position.era)
+
+    def build_answer(self, query: StoreQuery) -> StoreUpdate | None:
         """Return the changes that a host of the zone asks for, if kept."""
+        if query.era != self.position.era:
+            return None
         return self._changes.build_answer(
             self._view(),
-            after_revision,
+            query.after_revision,
             self._context.now_s(),
         )
 
@@ -117,12 +135,26 @@
 
         Return whether this host should ask for earlier changes.
         """
-        now_s = self._context.now_s()
+        if message.era < self.position.era:
+            # The neighbour doesn't know yet that the store was restored.
+            return False
+        self._record_zone_confirmed(message)
+        if self.complete and message.era > self.position.era:
+            if self._may_ask_for_news():
+                self._read_snapshot()
+            return False
+        return self._apply_same_era(message)
+
+    def _record_zone_confirmed(self, message: StoreUpdate) -> None:
         # Counts also if this host can't follow yet.
+        age_s = message.age_ms / _MILLISECONDS_PER_S
         self._zone_confirmed_s = max(
             self._zone_confirmed_s,
-            now_s - message.age_ms / _MILLISECONDS_PER_S,
+            self._context.now_s() - age_s,
         )
+
+    def _apply_same_era(self, message: StoreUpdate) -> bool:
+        now_s = self._context.now_s()
         if not self.complete or message.revision < self.revision:
             return False
         known_revision = self._known.configuration_revision
@@ -166,7 +198,7 @@
 
     def _view(self) -> StoreView:
         return StoreView(
-            self.revision,
+            self.position,
             self._known.configuration_revision,
             self._calls.last_reply_s,
             self._known.relist_until_s,
@@ -183,9 +215,9 @@
     def _on_first_reply(self, reply: RegistryReply) -> None:
         self._calls.in_flight = False
         match reply:
-            case Snapshot(facts=facts, revision=revision):
+            case Snapshot():
                 if not self.complete:
-                    self._apply_snapshot(facts, revision)
+                    self._apply_snapshot(reply)
                 self._poll()
             case RegistryFailed(reason=reason):
                 self._on_store_lost(reason)
@@ -195,6 +227,11 @@
         # don't wait for the delay after a failed poll.
         if self._calls.in_flight:
             return
+        if self._context.now_s() - self._restored_s < STALE_READ_S:
+            # A stale read may show the history before the restore.
+            if self._may_ask_for_news():
+                self._poll()
+            return
 
         def on_reply(reply: RegistryReply) -> None:
             self._calls.in_flight = False
@@ -224,15 +261,18 @@
 
     def _handle_reply(self, reply: RegistryReply) -> None:
         match reply:
-            case Snapshot(facts=facts, revision=revision):
+            case Snapshot(revision=revision, era=era):
+                if Position(era, revision) < self.position:
+                    self._ignore(reply)
+                    return
                 self._record_reply(revision)
-                if revision >= self.revision:
-                    self._apply_snapshot(facts, revision)
-                else:
-                    self._context.log.warn(
-                        SnapshotIgnored(revision, reply.era, self.revision),
-                    )
+                self._apply_snapshot(reply)
                 self._schedule_poll(0)
+            case Update(era=era) if era > self.position.era:
+                # Changes of the new history may be missing in between.
+                self._read_snapshot()
+            case Update(era=era) if era < self.position.era:
+                self._ignore(reply)
             case Update(facts=facts, revision=revision):
                 self._record_reply(revision)
                 if revision > self.revision:
@@ -241,11 +281,27 @@
             case HistoryLost(era=era):
                 self._context.metrics.count('history_lost')
                 self._context.log.warn(StoreHistoryLost(self.revision, era))
-                self._calls.begin(self._context.now_s())
-                self._registry.read_all(self._on_reply)
+                self._read_snapshot()
             case RegistryFailed(reason=reason):
                 self._on_store_lost(reason)
 
+    def _ignore(self, reply: Snapshot | Update) -> None:
+        self._context.log.warn(
+            StoreAnswerIgnored(
+                reply.revision,
+                reply.era,
+                self.position.revision,
+                self.position.era,
+            ),
+        )
+        self._on_store_lost('the answer is older than the known state')
+
+    def _read_snapshot(self) -> None:
+        if self._calls.in_flight:
+            return
+        self._calls.begin(self._context.now_s())
+        self._registry.read_all(self._on_reply)
+
     def _schedule(self) -> PollSchedule:
         return build_schedule(
             self._find_zone_rank(),
@@ -311,7 +367,7 @@
             now_s = self._context.now_s()
             self._changes.record(self.revision, newer, now_s)
         self._known.apply(newer)
-        self.revision = revision
+        self.position = Position(self.position.era, revision)
 
     def _on_store_lost(self, reason: str) -> None:
         now_s = self._context.now_s()
@@ -353,8 +409,31 @@
             self._known.expect_relisting()
         self._context.log.emit(StoreRegained(revision, away_s))
 
-    def _apply_snapshot(self, facts: tuple[Fact, ...], revision: int) -> None:
-        gone = self._known.list_gone(facts, revision)
-        self._apply_changes((*facts, *gone), revision)
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        if self.complete and snapshot.era > self.position.era:
+            self._begin_history(snapshot)
+            return
+        facts = snapshot.facts
+        gone = self._known.list_gone(facts, snapshot.revision)
+        if not self.complete:
+            self.position = Position(snapshot.era, 0)
+            self._rollouts.era = snapshot.era
+        self._apply_changes((*facts, *gone), snapshot.revision)
         self.complete = True
         self._rollouts.following = True
+
+    def _begin_history(self, snapshot: Snapshot) -> None:
+        self._context.metrics.count('store_restored')
+        self._context.log.warn(
+            StoreRestored(
+                snapshot.era,
+                snapshot.revision,
+                self.position.era,
+                self.position.revision,
+            ),
+        )
+        self._restored_s = self._context.now_s()
+        self._behind_since_s = None
+        self._changes.clear()
+        self._known.begin_history(snapshot.facts, snapshot.era)
+        self.position = Position(snapshot.era, snapshot.revision)
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -77,12 +77,30 @@
     era: int
 
 
-class SnapshotIgnored(msgspec.Struct, frozen=True):
-    """Log a snapshot of the store that is older than the known state."""
+class StoreRestored(msgspec.Struct, frozen=True):
+    """Log that the store was restored from a copy, and is read anew."""
+
+    era: int
+    revision: int
+    known_era: int
+    known_revision: int
+
+
+class StoreAnswerIgnored(msgspec.Struct, frozen=True):
+    """Log an answer of the store that is older than the known state."""
 
     revision: int
     era: int
     known_revision: int
+    known_era: int
+
+
+class EngineHeldBack(msgspec.Struct, frozen=True):
+    """Log an engine that a restored store lists, but that had left before."""
+
+    engine: str
+    revision: int
+    left_s: float
 
 
 class ConfigurationApplied(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -307,14 +307,14 @@
         if self._discovery is None or peer is None:
             return
         if self._discovery.apply_update(message):
-            query = StoreQuery(self._discovery.revision)
+            query = self._discovery.build_query()
             self.link.send(query, [peer.address])
 
     def _on_store_query(self, host: str, message: StoreQuery) -> None:
         peer = self.members.peers.get(host)
         if self._discovery is None or peer is None:
             return
-        answer = self._discovery.build_answer(message.after_revision)
+        answer = self._discovery.build_answer(message)
         if answer is not None:
             self.link.send(answer, [peer.address])
 
--- a/bamboodeck/gateway/known_state.py
+++ b/bamboodeck/gateway/known_state.py
@@ -3,19 +3,28 @@
 Load pattern: the store was away, and some engines could not renew their
 entries. Engines missing just after an outage get time to be listed again before
 they are dropped, and the configuration never returns to an older version.
+
+A store that was restored from a copy lacks the latest changes, and lists what
+has left since. What is in force stays until newer state is written: hosts get
+time to be listed again, prompt parts are listed again by the hosts, and engines
+that had left are held back until their entries would have lapsed.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.events import (
     ConfigurationApplied,
     ConfigurationIgnored,
     DocumentSkipped,
     EngineGone,
+    EngineHeldBack,
     EngineListed,
 )
-from bamboodeck.gateway.model import EngineState
+from bamboodeck.gateway.model import EngineEntry, EngineState
 from bamboodeck.gateway.ports import (
     ConfigurationListed,
     EngineSeen,
@@ -35,6 +44,19 @@
 
 # Running engines are listed again about two seconds after an outage.
 RELIST_S = 2.5
+# Hosts learn of the return by their next call, and then list themselves again.
+RELIST_HOSTS_S = 10.0
+# An engine's entry lapses after three heartbeats of silence; one that outlasts
+# them belongs to an engine that lives.
+LAPSE_HEARTBEATS = 4
+# Engines that left are remembered for longer than copies are old.
+REMEMBER_LEFT_S = 120.0
+MAX_LEFT = 1000
+
+
+class _LeftEngine(msgspec.Struct, frozen=True):
+    started_unix_ms: int
+    left_s: float
 
 
 class KnownState:
@@ -57,11 +79,37 @@
         self._on_configuration = on_configuration
         self.hosts: set[str] = set()
         self._missing: dict[str, EngineUnlisted] = {}
+        # The engines that have left, and when.
+        self._left: OrderedDict[str, _LeftEngine] = OrderedDict()
+        self._held_back: dict[str, EngineSeen] = {}
 
     def expect_relisting(self) -> None:
         """Give missing engines the time to be listed again."""
         self.relist_until_s = self._context.now_s() + RELIST_S
 
+    def begin_history(self, facts: Iterable[Fact], era: int) -> None:
+        """Apply a snapshot of a store that was restored from a copy."""
+        facts = tuple(facts)
+        self.configuration_revision = 0
+        self.expect_relisting()
+        self._rollouts.begin_history(era)
+        parts = {fact.part_id for fact in facts if isinstance(fact, PartListed)}
+        suspects = self._context.suspect_parts
+        suspects.lost |= suspects.listed - parts
+        gone = [
+            fact
+            for fact in self.list_gone(facts, 0)
+            if not isinstance(fact, PartUnlisted)
+        ]
+        for fact in (*facts, *gone):
+            match fact:
+                case EngineSeen() if self._has_left(fact):
+                    self._hold_back(fact)
+                case PeerUnlisted(host=host):
+                    self._expect_host(fact, host)
+                case _:
+                    self._apply_one(fact)
+
     def list_gone(
         self,
         facts: Iterable[Fact],
@@ -114,6 +162,14 @@
                 self._context.metrics.count('document_skipped')
                 self._context.log.warn(DocumentSkipped(key, revision, reason))
 
+    def _remember_left(self, entry: EngineEntry) -> None:
+        self._left[entry.engine_id] = _LeftEngine(
+            entry.started_unix_ms,
+            self._context.now_s(),
+        )
+        if len(self._left) > MAX_LEFT:
+            self._left.popitem(last=False)
+
     def _apply_peer(self, fact: PeerListed | PeerUnlisted) -> None:
         match fact:
             case PeerListed(host=host):
@@ -151,9 +207,50 @@
         )
         self._on_configuration()
 
+    def _has_left(self, fact: EngineSeen) -> bool:
+        left = self._left.get(fact.entry.engine_id)
+        if left is None or fact.entry.started_unix_ms > left.started_unix_ms:
+            return False
+        return self._context.now_s() - left.left_s < REMEMBER_LEFT_S
+
+    def _hold_back(self, fact: EngineSeen) -> None:
+        engine_id = fact.entry.engine_id
+        self._held_back[engine_id] = fact
+        self._context.log.warn(
+            EngineHeldBack(
+                engine_id,
+                fact.revision,
+                self._context.now_s() - self._left[engine_id].left_s,
+            ),
+        )
+
+        def release() -> None:
+            if self._held_back.get(engine_id) is fact:
+                self._upsert_engine(fact)
+
+        self._context.loop.scheduler.call_after(
+            LAPSE_HEARTBEATS * self._context.settings.bounds.heartbeat_s,
+            release,
+        )
+
+    def _expect_host(self, fact: PeerUnlisted, host: str) -> None:
+        self.hosts.discard(host)
+        if host == self._context.settings.host:
+            # Lists itself again.
+            self._on_peer(fact)
+            return
+
+        def drop() -> None:
+            if host not in self.hosts:
+                self._on_peer(fact)
+
+        self._context.loop.scheduler.call_after(RELIST_HOSTS_S, drop)
+
     def _upsert_engine(self, fact: EngineSeen) -> None:
         entry = fact.entry
         self._missing.pop(entry.engine_id, None)
+        self._held_back.pop(entry.engine_id, None)
+        self._left.pop(entry.engine_id, None)
         if not self._context.engines.upsert(entry):
             return
         self._context.log.emit(
@@ -172,6 +269,7 @@
             self._context.client.close_idle_to(entry.address)
 
     def _unlist_engine(self, fact: EngineUnlisted) -> None:
+        self._held_back.pop(fact.engine_id, None)
         left_s = self.relist_until_s - self._context.now_s()
         if left_s <= 0:
             self._drop(fact)
@@ -191,6 +289,7 @@
         if not self._context.engines.unlist(fact.engine_id):
             return
         engine = self._context.engines.find(fact.engine_id)
+        self._remember_left(engine.entry)
         self._context.client.close_idle_to(engine.entry.address)
         self._context.engines.remove_unlisted()
         self._context.log.emit(
--- a/bamboodeck/gateway/membership.py
+++ b/bamboodeck/gateway/membership.py
@@ -19,6 +19,8 @@
 # hosts exchange messages far more often.
 LEASE_S = 15.0
 RENEW_PERIOD_S = 5.0
+# Hosts whose entries are gone list themselves again within this time.
+RELIST_SPREAD_S = 1.0
 # Peers of the zone send four messages in this time, so three may be lost.
 PEER_TIMEOUT_S = 1.0
 
@@ -107,6 +109,7 @@
                 self._add(fact)
             case PeerUnlisted(host=host) if host == own:
                 self._listed = False
+                self._list_soon()
             case PeerUnlisted(host=host) if host in self.peers:
                 self._unlisted.add(host)
 
@@ -136,6 +139,17 @@
             PeerSeen(fact.host, str(fact.address), self.hosts),
         )
 
+    def _list_soon(self) -> None:
+        # Many hosts may have lost their entries at the same moment.
+        self._context.loop.scheduler.call_after(
+            self._context.environment.random.uniform(0, RELIST_SPREAD_S),
+            self._list_if_unlisted,
+        )
+
+    def _list_if_unlisted(self) -> None:
+        if not self._listed:
+            self._list()
+
     def _list(self) -> None:
         settings = self._context.settings
         self._registry.list_host(
--- a/bamboodeck/gateway/part_listing.py
+++ b/bamboodeck/gateway/part_listing.py
@@ -39,7 +39,8 @@
         """Write the entries that are due."""
         now_s = self._context.now_s()
         suspects = self._context.suspect_parts
-        unlisted = suspects.list_blamed(now_s) - suspects.listed
+        blamed = suspects.list_blamed(now_s)
+        unlisted = (blamed - suspects.listed) | (blamed & suspects.lost)
         for part_id in self._due_s.keys() - unlisted:
             self._due_s.pop(part_id)
         for part_id in unlisted:
--- a/bamboodeck/gateway/peer_messages.py
+++ b/bamboodeck/gateway/peer_messages.py
@@ -172,12 +172,15 @@
     # Time left for engines missing after an outage to be listed again.
     relist_ms: int
     facts: tuple[ShareableFact, ...] = ()
+    # Revisions of different eras can't be compared.
+    era: int = 0
 
 
 class StoreQuery(msgspec.Struct, frozen=True, array_like=True, tag='behind'):
     """Ask a host of the zone for the changes after a revision."""
 
     after_revision: int
+    era: int = 0
 
 
 PeerMessage = (
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -49,6 +49,17 @@
         """Tell whether a request is a readiness check."""
 
 
+class Position(msgspec.Struct, frozen=True, order=True):
+    """Name a point in the history of the store.
+
+    A store that is restored from a copy begins a new era, in which revisions
+    are given out again.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 class ConfigurationListed(msgspec.Struct, frozen=True):
     """Report the latest configuration of the operators."""
 
--- a/bamboodeck/gateway/rollout_coordinator.py
+++ b/bamboodeck/gateway/rollout_coordinator.py
@@ -57,6 +57,7 @@
 # Delay before a write is retried, doubled by each failure.
 WRITE_RETRY_S = 0.6
 MAX_WRITE_RETRY_S = 4.8
+MAX_REPLACED_ORDERS = 20
 
 _TERMINAL = frozenset((RolloutState.COMPLETED, RolloutState.ROLLED_BACK))
 
@@ -84,6 +85,10 @@
     step_version: str = ''
     state: RolloutState | None = None
     state_revision: int = 0
+    # The state that the store holds.
+    stored_state: RolloutState | None = None
+    # Whether the store was restored, and has not shown the order again.
+    order_lost: bool = False
     bad: bool = False
     # Sessions of the trial share that ran on another version and are still to
     # be announced; each keeps its version while it is active.
@@ -102,6 +107,14 @@
         """Tell whether the roll-out was completed or rolled back."""
         return self.state in _TERMINAL
 
+    @property
+    def must_restore(self) -> bool:
+        """Tell whether the store has lost the state."""
+        if self.order_lost or self.state is None:
+            return False
+        written = self.state_revision >= self.order_revision
+        return not written or self.state is not self.stored_state
+
 
 class RolloutCoordinator:
     """Choose versions during roll-outs, and advance the roll-outs."""
@@ -116,6 +129,8 @@
         self.evidence = Evidence()
         # Whether orders are seen as they are written.
         self.following = False
+        # The era of the store's history.
+        self.era = 0
         self._context = context
         self._registry = registry
         self._find_rank = find_rank
@@ -124,6 +139,8 @@
         self._steps: dict[str, RolloutStepListed] = {}
         # By service, the versions that earlier roll-outs have left behind.
         self._withdrawn: dict[str, set[str]] = {}
+        # By service, the orders that later ones have replaced.
+        self._replaced: dict[str, list[RolloutOrder]] = {}
         context.loop.scheduler.call_every(TICK_S, self._tick)
 
     @property
@@ -131,6 +148,21 @@
         """Tell whether any roll-out is in progress."""
         return any(not rollout.ended for rollout in self._rollouts.values())
 
+    def begin_history(self, era: int) -> None:
+        """Forget all revisions, as the store was restored from a copy.
+
+        What is known of the roll-outs stays in force.
+        """
+        self.era = era
+        self._statuses.clear()
+        self._steps.clear()
+        for rollout in self._rollouts.values():
+            rollout.order_lost = True
+            rollout.order_revision = 0
+            rollout.step_revision = 0
+            rollout.state_revision = 0
+            rollout.stored_state = None
+
     def apply(
         self,
         fact: RolloutOrdered | RolloutStatusListed | RolloutStepListed,
@@ -148,11 +180,14 @@
         """Start the roll-out that an operator ordered."""
         order = fact.order
         known = self._rollouts.get(order.service)
-        if known is not None and known.order_revision >= fact.revision:
+        if known is not None and self._is_known_order(known, fact):
             return
         withdrawn = self._withdrawn.setdefault(order.service, set())
         if known is not None:
             withdrawn |= self._list_left_behind(known)
+            replaced = self._replaced.setdefault(order.service, [])
+            replaced.append(known.order)
+            del replaced[:-MAX_REPLACED_ORDERS]
         withdrawn.discard(order.version)
         self._context.log.emit(
             RolloutSeen(
@@ -184,6 +219,16 @@
         if status is not None:
             self.apply_status(status)
 
+    def _is_known_order(self, known: Rollout, fact: RolloutOrdered) -> bool:
+        if not known.order_lost:
+            return known.order_revision >= fact.revision
+        if fact.order == known.order:
+            known.order_lost = False
+            known.order_revision = fact.revision
+            return True
+        # A restored store may list an order from before the known one.
+        return fact.order in self._replaced.get(fact.order.service, ())
+
     def apply_status(self, fact: RolloutStatusListed) -> None:
         """Apply a roll-out state written by any host."""
         self._statuses[fact.service] = fact
@@ -196,7 +241,8 @@
             return
         if fact.status.version != rollout.order.version:
             return
-        if not rollout.ended:
+        rollout.stored_state = fact.status.state
+        if not rollout.ended or rollout.stored_state in _TERMINAL:
             rollout.state = fact.status.state
         self._log_moved(rollout, fact.revision)
 
@@ -375,7 +421,7 @@
 
     def _tick(self) -> None:
         for rollout in self._rollouts.values():
-            if not rollout.ended:
+            if rollout.must_restore or not rollout.ended:
                 self._advance(rollout)
 
     def _advance(self, rollout: Rollout) -> None:
@@ -403,6 +449,8 @@
         self,
         rollout: Rollout,
     ) -> tuple[int, RolloutState | None] | None:
+        if rollout.must_restore:
+            return (rollout.step, rollout.state)
         if rollout.bad:
             return (rollout.step, RolloutState.ROLLED_BACK)
         if rollout.state is None:
@@ -437,7 +485,7 @@
             )
             if not isinstance(reply, Written):
                 rollout.failed_writes += 1
-            elif state is not None:
+            elif state is not None and reply.era == self.era:
                 self.apply_status(
                     RolloutStatusListed(
                         order.service,
--- a/bamboodeck/gateway/store_polling.py
+++ b/bamboodeck/gateway/store_polling.py
@@ -18,6 +18,7 @@
 from bamboodeck.gateway.ports import (
     ConfigurationListed,
     Fact,
+    Position,
     Unreadable,
 )
 
@@ -147,9 +148,9 @@
 
 
 class StoreView(msgspec.Struct, frozen=True):
-    """Hold the revision up to which a host knows the store."""
+    """Hold the position up to which a host knows the store."""
 
-    revision: int
+    position: Position
     configuration_revision: int
     # When the store last answered.
     last_reply_s: float
@@ -170,6 +171,10 @@
         """Start without changes."""
         self._batches: deque[_Batch] = deque()
 
+    def clear(self) -> None:
+        """Drop all changes, as they belong to an earlier history."""
+        self._batches.clear()
+
     def record(
         self,
         after_revision: int,
@@ -200,7 +205,7 @@
         ]
         facts = _join_facts(recent)
         if not recent or len(facts) > MAX_SHARED_FACTS:
-            return _build_message(known, now_s, known.revision, ())
+            return _build_message(known, now_s, known.position.revision, ())
         return _build_message(known, now_s, recent[0].after_revision, facts)
 
     def build_answer(
@@ -237,9 +242,10 @@
 ) -> StoreUpdate:
     return StoreUpdate(
         after_revision=after_revision,
-        revision=known.revision,
+        revision=known.position.revision,
         configuration_revision=known.configuration_revision,
         age_ms=int((now_s - known.last_reply_s) * 1000),
         relist_ms=max(int((known.relist_until_s - now_s) * 1000), 0),
         facts=facts,
+        era=known.position.era,
     )
--- a/bamboodeck/gateway/suspect_parts.py
+++ b/bamboodeck/gateway/suspect_parts.py
@@ -87,6 +87,8 @@
         self._alive: OrderedDict[str, float] = OrderedDict()
         # The parts that the registry lists as blamed.
         self.listed: set[str] = set()
+        # Those of them that the registry has lost, to be listed again.
+        self.lost: set[str] = set()
         self._suspected: set[str] = set()
         self._blamed: frozenset[str] = frozenset()
         self._reassign_s = -math.inf
@@ -163,11 +165,13 @@
     def add_listed(self, part_id: str) -> None:
         """Blame a part that the registry lists."""
         self.listed.add(part_id)
+        self.lost.discard(part_id)
         self._reassign_s = -math.inf
 
     def drop_listed(self, part_id: str) -> None:
         """Blame a part by its crashes alone."""
         self.listed.discard(part_id)
+        self.lost.discard(part_id)
         self._reassign_s = -math.inf
 
     def list_blamed(self, now_s: float) -> frozenset[str]:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -15,7 +15,7 @@
 from bamboodeck.gateway import fleet, store_polling
 from bamboodeck.gateway.model import Bounds, RolloutState, RolloutStatus
 from bamboodeck.gateway.peer_messages import PeerMessage, ZoneUpdate
-from bamboodeck.gateway.ports import EngineUnlisted
+from bamboodeck.gateway.ports import EngineUnlisted, Position
 from bamboodeck.gateway.rollout_coordinator import SESSION_SYNC_S
 from bamboodeck.gateway.rollouts import is_in_share, share_at
 from bamboodeck.http.messages import Address, Header
@@ -359,7 +359,8 @@
 
     def known(self, revision: int) -> store_polling.StoreView:
         """Return the view of a host at a revision."""
-        return store_polling.StoreView(revision, 1, 0.0, 0.0)
+        position = Position(0, revision)
+        return store_polling.StoreView(position, 1, 0.0, 0.0)
 
     def unlist(self, *revisions: int) -> tuple[EngineUnlisted, ...]:
         """Return a fact for each revision."""
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -13,6 +13,8 @@
     ConfigurationListed,
     EngineUnlisted,
     Fact,
+    HistoryLost,
+    Position,
     RegistryFailed,
     RegistryReply,
     Snapshot,
@@ -58,8 +60,12 @@
         self._rank = rank
 
     def read_all(self, on_reply: OnReply, *, stale: bool = False) -> None:
-        """Return an empty snapshot."""
-        self._answer(on_reply, lambda: Snapshot((), self._zone.revision))
+        """Return a snapshot."""
+        zone = self._zone
+        self._answer(
+            on_reply,
+            lambda: Snapshot(zone.list_newest(), zone.revision, zone.era),
+        )
 
     def read_configuration(self, on_reply: OnReply) -> None:
         """Return the newest configuration that is old enough to be read."""
@@ -70,7 +76,7 @@
             for each, written_s in zone.configurations
             if written_s <= readable_s
         ]
-        snapshot = Snapshot(tuple(listed[-1:]), zone.revision)
+        snapshot = Snapshot(tuple(listed[-1:]), zone.revision, zone.era)
         # The store also answers stale reads of hosts that it refuses.
         zone.clock.call_after(ANSWER_S, lambda: on_reply(snapshot))
 
@@ -83,10 +89,21 @@
         """Return the changes after a revision, or none after `wait_s`."""
         zone = self._zone
 
-        def build() -> RegistryReply:
-            return Update(zone.changes_after(after_revision), zone.revision)
+        era = zone.era
 
-        due = zone.revision > after_revision
+        def build() -> RegistryReply:
+            if after_revision > zone.revision:
+                return HistoryLost(zone.era)
+            if zone.era > era:
+                # A restored store forgets the calls that wait.
+                return RegistryFailed('lost')
+            return Update(
+                zone.changes_after(after_revision),
+                zone.revision,
+                zone.era,
+            )
+
+        due = zone.revision != after_revision
         self._answer(
             on_reply,
             build,
@@ -137,6 +154,8 @@
         """Start all hosts, following a store that serves all of them."""
         self.clock = VirtualClock(1000.0)
         self.revision = 1
+        self.era = 1
+        self._version = 0
         self.serves: Callable[[int], bool] = lambda rank: True
         self.failure_s = ANSWER_S
         # A silent store answers no call, and forgets those that wait.
@@ -165,8 +184,9 @@
     def put_configuration(self) -> None:
         """Write a new configuration."""
         self.revision += 1
+        self._version += 1
         configuration = GatewayConfiguration(
-            self.revision,
+            self._version,
             (),
             {},
             CallerLimits(),
@@ -176,6 +196,23 @@
         self.configurations.append((listed, self.clock.now_s))
         self._changes.append(listed)
 
+    def restore(self, lost_changes: int) -> None:
+        """Restore the store from a copy that lacks the latest changes."""
+        self.era += 1
+        self.revision -= lost_changes
+        self._changes = [
+            each for each in self._changes if each.revision <= self.revision
+        ]
+        self.configurations = [
+            (listed, written_s)
+            for listed, written_s in self.configurations
+            if listed.revision <= self.revision
+        ]
+
+    def list_newest(self) -> tuple[Fact, ...]:
+        """Return the newest configuration, as a snapshot does."""
+        return tuple(listed for listed, _ in self.configurations[-1:])
+
     def configured(self) -> int:
         """Return how many hosts have the newest configuration."""
         newest = self.configurations[-1][0].configuration
@@ -217,14 +254,18 @@
 
     def knowing(self) -> int:
         """Return how many hosts know the newest revision."""
-        return sum(each.revision == self.revision for each in self.discoveries)
+        newest = Position(self.era, self.revision)
+        return sum(each.position == newest for each in self.discoveries)
 
     def _add_host(self, rank: int, hosts: int, bounds: Bounds) -> None:
         context = self._build_context(bounds)
         discovery = Discovery(
             context,
             VirtualRegistry(self, rank),
-            SimpleNamespace(apply=lambda fact: None),
+            SimpleNamespace(
+                apply=lambda fact: None,
+                begin_history=lambda era: None,
+            ),
             lambda fact: None,
             lambda: None,
             lambda: ZoneRank(rank, hosts),
@@ -296,7 +337,7 @@
 
     def _ask(self, behind: Discovery, publisher: Discovery) -> None:
         def answer() -> None:
-            message = publisher.build_answer(behind.revision)
+            message = publisher.build_answer(behind.build_query())
             if message is not None:
                 self.sent_changes += len(message.facts)
                 behind.apply_update(message)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -29,6 +29,9 @@
 
 ITEM_COUNT = 120
 
+# Of a stand-in that was never restored.
+ERA = 1
+
 
 class StoreCaller:
     """Call the store and wait for its reply."""
@@ -131,7 +134,7 @@
     ) -> None:
         """Return no changes when the wait ends."""
         caller.store.watch('a/', fake.revision, 0.05, caller.replies.append)
-        assert caller.wait() == ChangesRead((), fake.revision)
+        assert caller.wait() == ChangesRead((), fake.revision, ERA)
 
     def test_history(
         self, caller: StoreCaller, fake: PlatformStoreFake
@@ -141,7 +144,7 @@
         fake.put('a/2', b'two')
         fake.compact_history()
         caller.store.watch('a/', 1, 1.0, caller.replies.append)
-        assert caller.wait() == HistoryCompacted()
+        assert caller.wait() == HistoryCompacted(ERA)
 
     def test_silent(
         self,
