Skip odd documents of other writers in the store

Other operators report: an entry nested very deeply, or with a number too large, ends the hosts or stops them from following. Cause: the decoder reported only what the JSON library calls an error, and numbers had no bounds. Every document is now decoded in one place that reports each of these, and counts and slots have bounds; the key is skipped with its line document_skipped, and an engine named by it gets nothing. Ruled out: ports out of range and numbers of 1e400, reported before too; absurd numbers in the heads of engines (length, status, keep-alive, confidence, limit), tried by hand: refused by the parser or ignored.

--- a/bamboodeck/gateway/peer_link.py
+++ b/bamboodeck/gateway/peer_link.py
@@ -95,7 +95,7 @@
                 return
             try:
                 envelope = self._decoder.decode(datagram)
-            except msgspec.MsgspecError:
+            except (msgspec.MsgspecError, RecursionError):
                 self._metrics.count('news_unreadable')
                 continue
             self._on_message(envelope)
--- a/bamboodeck/http/messages.py
+++ b/bamboodeck/http/messages.py
@@ -13,6 +13,7 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 
 _MAX_PORT = 65535
+_MAX_SHOWN_CHARS = 100
 
 
 class AddressError(InputError):
@@ -35,15 +36,20 @@
     host, colon, port = text.strip().rpartition(':')
     parts = host.split('.')
     numeric = len(parts) == 4 and all(
-        part.isascii() and part.isdigit() and int(part) < 256 for part in parts
+        _is_number(part, 3) and int(part) < 256 for part in parts
     )
-    if not (colon and numeric and port.isascii() and port.isdigit()):
-        raise AddressError(f'address "{text}" is not of the form IP:PORT')
+    if not (colon and numeric and _is_number(port, 5)):
+        shown = text[:_MAX_SHOWN_CHARS]
+        raise AddressError(f'address "{shown}" is not of the form IP:PORT')
     if not 0 < int(port) <= _MAX_PORT:
         raise AddressError(f'port {port} is not from 1 to {_MAX_PORT}')
     return Address(host, int(port))
 
 
+def _is_number(text: str, max_digits: int) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= max_digits
+
+
 class Header(msgspec.Struct, frozen=True):
     """Represent a header field."""
 
--- a/bamboodeck/platform/documents.py
+++ b/bamboodeck/platform/documents.py
@@ -1,6 +1,6 @@
 """Decode and encode the documents in the platform's store."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -25,6 +25,14 @@
 from bamboodeck.platform.host_settings import MILLISECONDS_PER_S
 
 
+# Hosts send these numbers to each other, in up to 64 bits.
+_MAX_COUNT = 2**53
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+# More than any engine runs at once; a host would send it all that comes.
+_MAX_SLOTS = 100_000
+_Slots = Annotated[int, msgspec.Meta(le=_MAX_SLOTS)]
+
+
 class DocumentError(InputError):
     """Report a malformed document."""
 
@@ -105,11 +113,11 @@
     # The version of the engine's software, which a roll-out changes.
     version: str
     state: str
-    slots: int = 1
+    slots: _Slots = 1
     # Counts the orders accepted since the engine started.
-    sequence: int = 0
+    sequence: _Count = 0
     # When the engine started, in Unix milliseconds.
-    born: int = 0
+    born: _Count = 0
     cold_remaining_ms: float = 0.0
 
 
@@ -126,7 +134,7 @@
 
 def decode_configuration(content: bytes) -> GatewayConfiguration:
     """Decode a configuration; raise `DocumentError` if it is malformed."""
-    wire = _decode(content, _WireConfiguration)
+    wire = decode_document(content, _WireConfiguration)
     customers = None
     if wire.tenants is not None:
         customers = {
@@ -152,7 +160,7 @@
 
 def decode_engine(engine_id: str, content: bytes) -> EngineEntry:
     """Decode an engine's entry; raise `DocumentError` if it is malformed."""
-    wire = _decode(content, _WireEngine)
+    wire = decode_document(content, _WireEngine)
     try:
         state = EngineState(wire.state)
     except ValueError:
@@ -177,13 +185,13 @@
 
 def decode_rollout(content: bytes) -> RolloutOrder:
     """Decode a roll-out order; raise `DocumentError` if it is malformed."""
-    wire = _decode(content, _WireRollout)
+    wire = decode_document(content, _WireRollout)
     return RolloutOrder(wire.service, wire.target, wire.duration_s)
 
 
 def decode_status(content: bytes) -> RolloutStatus:
     """Decode a roll-out status; raise `DocumentError` if it is malformed."""
-    wire = _decode(content, _WireStatus)
+    wire = decode_document(content, _WireStatus)
     try:
         return RolloutStatus(wire.target, RolloutState(wire.state))
     except ValueError:
@@ -195,11 +203,14 @@
     return msgspec.json.encode(_WireStatus(status.version, status.state.value))
 
 
-def _decode(content: bytes, wire_type: type) -> Any:
+def decode_document(content: bytes, wire_type: type) -> Any:
+    """Decode a JSON document; raise `DocumentError` if it is malformed."""
     try:
         return msgspec.json.decode(content, type=wire_type)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DocumentError(str(error))
+    except RecursionError:
+        raise DocumentError('nested too deeply')
 
 
 def _build_route(wire: _WireRoute) -> Route:
--- a/bamboodeck/platform/registry.py
+++ b/bamboodeck/platform/registry.py
@@ -1,6 +1,7 @@
 """Read and write the fleet's shared state in the platform's store."""
 
 from collections.abc import Callable, Iterable, Iterator
+from typing import Annotated
 
 import msgspec
 
@@ -36,6 +37,7 @@
 from bamboodeck.platform.documents import (
     DocumentError,
     decode_configuration,
+    decode_document,
     decode_engine,
     decode_rollout,
     decode_status,
@@ -66,6 +68,10 @@
 _PART_PREFIX = f'{protocol.OWN_PREFIX}parts/'
 
 
+# Far more than roll-outs have.
+_MAX_STEP = 1000
+
+
 class _WireHost(msgspec.Struct, frozen=True):
     address: str
     zone: str
@@ -73,7 +79,7 @@
 
 class _WireStep(msgspec.Struct, frozen=True):
     version: str
-    step: int
+    step: Annotated[int, msgspec.Meta(ge=0, le=_MAX_STEP)]
     began_unix_s: float
     withdrawn: tuple[str, ...] = ()
 
@@ -255,7 +261,7 @@
     for change in changes:
         try:
             fact = _decode_fact(change)
-        except (DocumentError, AddressError, msgspec.MsgspecError) as error:
+        except (DocumentError, AddressError) as error:
             yield Unreadable(change.key, str(error), change.revision)
             fact = _unlist_unreadable(change)
         if fact is not None:
@@ -286,14 +292,14 @@
         service = key.removeprefix(protocol.STATUS_PREFIX)
         return RolloutStatusListed(service, decode_status(content), revision)
     if key.startswith(_HOST_PREFIX):
-        wire = msgspec.json.decode(content, type=_WireHost)
+        wire = decode_document(content, _WireHost)
         host = key.removeprefix(_HOST_PREFIX)
         address = parse_address(wire.address)
         return PeerListed(host, address, wire.zone, revision)
     if key.startswith(_PART_PREFIX):
         return PartListed(key.removeprefix(_PART_PREFIX), revision)
     if key.startswith(_STEP_PREFIX):
-        step = msgspec.json.decode(content, type=_WireStep)
+        step = decode_document(content, _WireStep)
         service = key.removeprefix(_STEP_PREFIX)
         return RolloutStepListed(
             RolloutStep(
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -388,7 +388,7 @@
 def _decode(outcome: HttpOutcome, wire_type: type) -> Any:
     try:
         return msgspec.json.decode(outcome.body, type=wire_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return StoreFailed(f'malformed response: {error}')
 
 
