Answer every request that a stopping host has read

Other operators report: requests that came late in the grace of a planned stop were passed on and cut with no answer at its end. Shown here: with a grace of two seconds a request that comes 1.2 s after SIGTERM is sent to an engine and cut at 1.6 s, a plain call that may not be repeated too; requests that run or wait at the exit are cut without an answer. On the sites in force (grace 8 s) only a request whose body ends late, a long stream or a queue meets it, as new connections and idle ones end 2.4 s after SIGTERM. Now a stopping host rejects at once, truthfully, what may not be answered before its exit (the request's own time, or 0.6 of the grace if that is less), and answers at the exit what is unfinished: 503 for what waits, 504 for what was sent.

--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -45,8 +45,10 @@
 # The balancer checks once a second and removes a host after two failures, so
 # new connections arrive for this long after SIGTERM.
 BALANCER_REMOVAL_S = 2.4
-# Answers are aborted this long before the platform kills the process.
+# Unfinished requests are answered this long before the platform kills the
+# process, and the process exits once the answers were sent.
 KILL_MARGIN_S = 0.4
+FLUSH_S = 0.15
 STOP_CHECK_S = 0.05
 DRAIN_LOG_S = 0.1
 LOG_SECOND_S = 1.0
@@ -123,6 +125,7 @@
         self._codec = platform.codec
         self._source = source
         self.stopping_since_s: float | None = None
+        self._broken_off = 0
         callers = settings.callers_listen
         ready = settings.ready_listen
         open_descriptors = settings.max_descriptors - RESERVED_DESCRIPTORS
@@ -215,7 +218,9 @@
         scheduler = self.loop.scheduler
         scheduler.call_after(BALANCER_REMOVAL_S, self.callers.stop_accepting)
         scheduler.call_after(BALANCER_REMOVAL_S, self._exit_if_idle)
-        scheduler.call_after(grace_s - KILL_MARGIN_S, self._exit)
+        answer_after_s = max(grace_s - KILL_MARGIN_S, 0.0)
+        self.traffic.stop_by(now_s + answer_after_s)
+        scheduler.call_after(answer_after_s, self._end_running)
 
     def _exit_if_idle(self) -> None:
         if not self.callers.connections:
@@ -223,10 +228,16 @@
             return
         self.loop.scheduler.call_after(STOP_CHECK_S, self._exit_if_idle)
 
+    def _end_running(self) -> None:
+        self._broken_off = sum(
+            exchange.responder.started for exchange in self.traffic.running
+        )
+        self.traffic.end_running()
+        self.loop.scheduler.call_after(FLUSH_S, self._exit)
+
     def _exit(self) -> None:
-        running = len(self.traffic.running)
         ran_s = time.perf_counter() - self._began_s
-        self.log.emit(GatewayStopped(running, ran_s))
+        self.log.emit(GatewayStopped(self._broken_off, ran_s))
         self.output.drain()
         self.loop.finish()
 
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -45,10 +45,18 @@
 # store.
 NO_CONFIGURATION_RETRY_S = 0.5
 
+# A request that may take longer than this share of the grace is taken if it
+# comes early; nearly all streams end sooner than they may.
+LONGEST_RUN_FRACTION = 0.6
+# Another host can serve the caller at once.
+OTHER_HOST_RETRY_S = 0.1
+STOPPING_REASON = 'the host is stopping'
+
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
 _MILLISECONDS_PER_S = 1000
 
 
@@ -81,6 +89,8 @@
         )
         self._queued: dict[int, QueuedRequest] = {}
         self._placing_queued = False
+        # When the process exits, once it is stopping.
+        self._exit_s: float | None = None
         context.loop.scheduler.call_every(SWEEP_PERIOD_S, self._sweep)
 
     def handle(self, parsed: ParsedRequest, responder: RelayExchange) -> None:
@@ -113,6 +123,18 @@
                 exchange = Exchange(self, request, route, customer, responder)
                 self._admit(exchange)
 
+    def stop_by(self, exit_s: float) -> None:
+        """Reject from now on what may not be answered before the exit."""
+        self._exit_s = exit_s
+
+    def end_running(self) -> None:
+        """Answer what is not answered yet, as the process exits."""
+        # First those that wait, as they would take the places of the others.
+        for queued in tuple(self._queued.values()):
+            queued.ticket.fail_unplaced(STOPPING_REASON, OTHER_HOST_RETRY_S)
+        for exchange in tuple(self.running):
+            exchange.fail(_GATEWAY_TIMEOUT, STOPPING_REASON)
+
     def place(self, exchange: Exchange) -> None:
         """Send the exchange to an engine, queue it, or refuse it."""
         if self.outcomes.parts.find_blamed(exchange) is not None:
@@ -206,6 +228,9 @@
             exchange.request,
             exchange.customer_name,
         )
+        if self._is_too_late(exchange):
+            exchange.refuse(_UNAVAILABLE, STOPPING_REASON, OTHER_HOST_RETRY_S)
+            return
         if self.outcomes.crashes.is_poison(exchange.fingerprint):
             exchange.refuse(
                 _UNAVAILABLE,
@@ -220,6 +245,13 @@
             )
         self.place(exchange)
 
+    def _is_too_late(self, exchange: Exchange) -> bool:
+        if self._exit_s is None:
+            return False
+        grace_s = self.context.settings.bounds.grace_s
+        longest_s = min(exchange.left_s(), LONGEST_RUN_FRACTION * grace_s)
+        return self._exit_s - self.context.now_s() < longest_s
+
     def _send(self, exchange: Exchange, candidates: list[Engine]) -> None:
         now_s = self.context.now_s()
         estimate = self.context.placer.choose(
