Heed engines that say in their answers that they leave

Now any answer that is this engine's own (a stream's head, an error, a rejection) makes it leave for the whole incarnation, also if the registry lists it as ready again, until a new start is listed; retries, resumed streams and second runs heed it where engines are chosen.

--- a/bamboodeck/fakes/platform/engine.py
+++ b/bamboodeck/fakes/platform/engine.py
@@ -60,6 +60,8 @@
     deadly_part: str | None = None
     # Named in all answers: the requests a second that the engine takes.
     limit_per_s: float | None = None
+    # Says in all answers that it leaves.
+    leaving: bool = False
 
 
 class PlatformEngineFake:
@@ -150,11 +152,13 @@
             self._answer(run, responder, head, fault)
 
     def _list_stated_headers(self) -> tuple[Header, ...]:
-        limit_per_s = self.behaviour.limit_per_s
-        if limit_per_s is None:
-            return self.extra_headers
-        limit = Header(protocol.SERVER_LIMIT, f'{limit_per_s:g}')
-        return (*self.extra_headers, limit)
+        stated = list(self.extra_headers)
+        if self.behaviour.limit_per_s is not None:
+            limit = f'{self.behaviour.limit_per_s:g}'
+            stated.append(Header(protocol.SERVER_LIMIT, limit))
+        if self.behaviour.leaving:
+            stated.append(Header(protocol.SERVER_LEAVING, '1'))
+        return tuple(stated)
 
     def _answer(
         self,
--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -110,9 +110,7 @@
             self.context,
             platform.codec,
             self.rollouts,
-            self.fleet.limits,
-            self.fleet.loans,
-            self.fleet.suspects.report,
+            self.fleet,
         )
         self.discovery = Discovery(
             self.context,
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -27,6 +27,8 @@
 MAX_PAUSE_S = 3.6
 # Requests to an engine are counted over this time.
 SENT_WINDOW_S = 4.0
+# Bounds the leaving engines that are remembered.
+MAX_LEAVING = 1000
 # Bounds the prompt parts tracked over all engines.
 MAX_CACHED_PARTS = 50_000
 
@@ -52,7 +54,8 @@
     pauses: int = 0
     paused_until_s: float = 0.0
     last_progress_s: float = 0.0
-    # Set once the registry lists it as draining, for the whole incarnation.
+    # Set once the registry lists it as draining, or an answer says that it
+    # leaves, for the whole incarnation.
     leaving: bool = False
     unlisted: bool = False
     # The limit that it named, if any.
@@ -128,6 +131,8 @@
         """Start without engines."""
         self._engines: dict[str, Engine] = {}
         self._parts: OrderedDict[tuple[str, str, str], float] = OrderedDict()
+        # Incarnations that leave, also while the registry doesn't list them.
+        self._leaving: OrderedDict[str, None] = OrderedDict()
 
     def __iter__(self) -> Iterator[Engine]:
         """Iterate over all known engines."""
@@ -154,8 +159,10 @@
         known = self._engines.get(entry.engine_id)
         if known is None or _is_new_incarnation(known.entry, entry):
             engine = Engine(entry)
-            engine.leaving = entry.state is EngineState.DRAINING
+            engine.leaving = engine.incarnation in self._leaving
             self._engines[entry.engine_id] = engine
+            if entry.state is EngineState.DRAINING:
+                self.record_leaving(engine.incarnation)
             return True
         if _is_older(known.entry, entry):
             return False
@@ -163,9 +170,20 @@
         known.entry = entry
         known.unlisted = False
         if entry.state is EngineState.DRAINING:
-            known.leaving = True
+            self.record_leaving(known.incarnation)
         return changed
 
+    def record_leaving(self, incarnation: str) -> Engine | None:
+        """Send nothing more to an engine; return it if that is news."""
+        self._leaving[incarnation] = None
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+        for engine in self._engines.values():
+            if engine.incarnation == incarnation and not engine.leaving:
+                engine.leaving = True
+                return engine
+        return None
+
     def unlist(self, engine_id: str) -> bool:
         """Stop sending requests to an engine that is no longer listed."""
         engine = self._engines.get(engine_id)
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -15,6 +15,7 @@
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.discovery import Discovery
 from bamboodeck.gateway.engines import PeerLoad
+from bamboodeck.gateway.leaving_engines import LeavingEngines
 from bamboodeck.gateway.limit_loans import LimitLoans
 from bamboodeck.gateway.limit_tracker import LimitTracker
 from bamboodeck.gateway.membership import Membership, Peer
@@ -25,6 +26,7 @@
     EngineLoad,
     EvidenceReport,
     HostUpdate,
+    LeavingUpdate,
     LimitUpdate,
     LoanGrant,
     LoanQuery,
@@ -54,6 +56,9 @@
 RECIPIENTS_PER_ZONE = 2
 MAX_CRASH_REPORTS = 50
 
+# Messages for all hosts, which one or two hosts of each zone forward.
+FleetMessage = SessionUpdate | SuspectUpdate | LimitUpdate | LeavingUpdate
+
 
 class Fleet:
     """Exchange messages with the other hosts."""
@@ -76,6 +81,7 @@
         )
         self.suspects = SuspectSharing(context)
         self.limits = LimitTracker(context, self.members)
+        self.leaving = LeavingEngines(context)
         self.loans = LimitLoans(context, self._send_to_host)
         self._listing = PartListing(context, registry, self.members.find_rank)
         self._context = context
@@ -89,6 +95,7 @@
         self.link.handle(ZoneUpdate, self._on_zone_update)
         self.link.handle(SuspectUpdate, self._on_suspect_update)
         self.link.handle(LimitUpdate, self._on_limit_update)
+        self.link.handle(LeavingUpdate, self._on_leaving_update)
         self.link.handle(LoanQuery, self.loans.on_query)
         self.link.handle(
             LoanGrant,
@@ -134,7 +141,7 @@
         )
         self._publish_sessions()
         self._publish_suspects()
-        self._publish_limits()
+        self._publish_engines()
         self._publish_store_update()
 
     def _remove_silent_peers(self) -> None:
@@ -208,10 +215,10 @@
         if update is not None:
             self._send_to_fleet(update)
 
-    def _publish_limits(self) -> None:
-        update = self.limits.build_update()
-        if update is not None:
-            self._send_to_fleet(update)
+    def _publish_engines(self) -> None:
+        for update in (self.limits.build_update(), self.leaving.build_update()):
+            if update is not None:
+                self._send_to_fleet(update)
 
     def _send_to_host(self, host: str, message: LoanQuery | LoanGrant) -> None:
         peer = self.members.peers.get(host)
@@ -220,7 +227,7 @@
 
     def _send_to_fleet(
         self,
-        message: SessionUpdate | SuspectUpdate | LimitUpdate,
+        message: FleetMessage,
     ) -> None:
         addresses = [peer.address for peer in self.members.own_zone_peers()]
         addresses += self._choose_recipients(self.members.other_zone_peers())
@@ -271,7 +278,7 @@
     def _forward_to_zone(
         self,
         host: str,
-        message: ZoneUpdate | SessionUpdate | SuspectUpdate | LimitUpdate,
+        message: ZoneUpdate | FleetMessage,
     ) -> None:
         # Only updates received directly from another zone are forwarded.
         if message.forwarded or self.members.is_in_own_zone(host):
@@ -322,6 +329,10 @@
         self._forward_to_zone(host, message)
         self.suspects.apply(message)
 
+    def _on_leaving_update(self, host: str, message: LeavingUpdate) -> None:
+        self._forward_to_zone(host, message)
+        self.leaving.apply(host, message)
+
     def _on_limit_update(self, host: str, message: LimitUpdate) -> None:
         self._forward_to_zone(host, message)
         self.limits.apply(host, message)
--- a/bamboodeck/gateway/limit_tracker.py
+++ b/bamboodeck/gateway/limit_tracker.py
@@ -11,8 +11,11 @@
 import msgspec
 
 from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.engine_events import (
+    EngineLimitChanged,
+    EngineLimitUsed,
+)
 from bamboodeck.gateway.engines import Engine
-from bamboodeck.gateway.events import EngineLimitChanged, EngineLimitUsed
 from bamboodeck.gateway.limits import (
     NamedLimit,
     find_share,
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -221,6 +221,8 @@
     # The requests a second that the engine takes from all hosts together, for
     # as long as its answers name it.
     limit_per_s: float | None = None
+    # The engine stops soon, and wants no more requests.
+    leaving: bool = False
     # Names of the headers that couldn't be read.
     unreadable: tuple[str, ...] = ()
 
--- a/bamboodeck/gateway/outcomes.py
+++ b/bamboodeck/gateway/outcomes.py
@@ -4,14 +4,17 @@
 
 from bamboodeck.gateway.attempt import Attempt
 from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.engine_events import (
+    HeadersUnreadable,
+)
 from bamboodeck.gateway.engines import Engine
 from bamboodeck.gateway.events import (
     EngineBack,
     EnginePaused,
-    HeadersUnreadable,
 )
 from bamboodeck.gateway.exchange import Exchange
 from bamboodeck.gateway.fingerprints import CrashTracker
+from bamboodeck.gateway.leaving_engines import LeavingEngines
 from bamboodeck.gateway.limit_tracker import LimitTracker
 from bamboodeck.gateway.part_tracker import PartTracker
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
@@ -31,10 +34,12 @@
         context: GatewayContext,
         rollouts: RolloutCoordinator,
         limits: LimitTracker,
+        leaving: LeavingEngines,
         share_crash: Callable[[EngineCrash], None],
     ) -> None:
         """Start without recorded outcomes."""
         self._limits = limits
+        self._leaving = leaving
         self.crashes = CrashTracker(context)
         self.parts = PartTracker(context, share_crash)
         self._context = context
@@ -46,6 +51,8 @@
         if head.misdirected:
             # Another engine answers.
             return
+        if head.leaving:
+            self._leaving.record_answer(attempt.engine)
         if head.unreadable:
             self._context.log.warn(
                 HeadersUnreadable(
--- a/bamboodeck/gateway/peer_messages.py
+++ b/bamboodeck/gateway/peer_messages.py
@@ -144,6 +144,18 @@
     forwarded: bool = False
 
 
+class LeavingUpdate(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='leaving',
+):
+    """Tell which engines said in an answer that they leave."""
+
+    incarnations: tuple[str, ...]
+    forwarded: bool = False
+
+
 class LoanQuery(msgspec.Struct, frozen=True, array_like=True, tag='borrow'):
     """Ask a host for requests of its shares in limited engines."""
 
@@ -189,6 +201,7 @@
     | SessionUpdate
     | SuspectUpdate
     | LimitUpdate
+    | LeavingUpdate
     | LoanQuery
     | LoanGrant
     | StoreUpdate
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -1,7 +1,5 @@
 """Admit requests, place them on engines, and sweep for timeouts."""
 
-from collections.abc import Callable
-
 from bamboodeck.gateway.attempt import Attempt
 from bamboodeck.gateway.candidates import Candidates, choose_service
 from bamboodeck.gateway.context import GatewayContext
@@ -13,9 +11,8 @@
     RequestWaits,
 )
 from bamboodeck.gateway.exchange import Exchange
+from bamboodeck.gateway.fleet import Fleet
 from bamboodeck.gateway.fingerprints import fingerprint_of
-from bamboodeck.gateway.limit_loans import LimitLoans
-from bamboodeck.gateway.limit_tracker import LimitTracker
 from bamboodeck.gateway.model import CallerRequest, EngineHead
 from bamboodeck.gateway.models import (
     DraftAnswer,
@@ -33,7 +30,6 @@
 from bamboodeck.gateway.routes import NoRoute, Resolved, UnknownKey
 from bamboodeck.gateway.sessions import SessionUse
 from bamboodeck.gateway.stalls import AttemptProgress, detect_stall
-from bamboodeck.gateway.suspect_parts import EngineCrash
 from bamboodeck.http.relay_server import RelayExchange
 from bamboodeck.http.request_parser import ParsedRequest
 
@@ -68,24 +64,23 @@
         context: GatewayContext,
         codec: ExchangeCodec,
         rollouts: RolloutCoordinator,
-        limits: LimitTracker,
-        loans: LimitLoans,
-        share_crash: Callable[[EngineCrash], None],
+        fleet: Fleet,
     ) -> None:
-        """Start without requests; `share_crash` tells the other hosts."""
+        """Start without requests; `fleet` tells the other hosts."""
         self.context = context
         self.codec = codec
         self._rollouts = rollouts
         # In the order of arrival, so that a run can be repeated.
         self.running: dict[Exchange, None] = {}
-        self.candidates = Candidates(context, rollouts, limits)
-        self._limits = limits
-        self._loans = loans
+        self.candidates = Candidates(context, rollouts, fleet.limits)
+        self._limits = fleet.limits
+        self._loans = fleet.loans
         self.outcomes = OutcomeTracker(
             context,
             rollouts,
-            limits,
-            share_crash,
+            fleet.limits,
+            fleet.leaving,
+            fleet.suspects.report,
         )
         self._queued: dict[int, QueuedRequest] = {}
         self._placing_queued = False
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -149,6 +149,7 @@
         confidence=None if confidence is None else int(confidence),
         close_delimited=head.close_delimited,
         limit_per_s=limit_per_s,
+        leaving=by_name.get(protocol.SERVER_LEAVING.lower()) == '1',
         unreadable=(protocol.SERVER_LIMIT,) if limit_unreadable else (),
     )
 
--- a/bamboodeck/platform/protocol.py
+++ b/bamboodeck/platform/protocol.py
@@ -23,6 +23,7 @@
 CONFIDENCE = 'X-Bamboodeck-Confidence'
 RETRY_AFTER = 'Retry-After'
 STORE_ERA = 'Store-Era'
+SERVER_LEAVING = 'Server-Leaving'
 SERVER_LIMIT = 'Server-Limit'
 
 READY_PATH = '/api/ready'
