Pause engines for as long as they ask in a rejection

Now the host sends it nothing until then, and other engines take the requests; a request waits for the pause only where it ends before the target, and is rejected at once otherwise. It is that host's pause alone: an engine says it to a host, so hosts don't tell each other. Bounded to ten minutes; texts that are no number of seconds are logged and ignored; no other status pauses.

--- a/bamboodeck/fakes/platform/engine.py
+++ b/bamboodeck/fakes/platform/engine.py
@@ -60,6 +60,8 @@
     deadly_part: str | None = None
     # Named in all answers: the requests a second that the engine takes.
     limit_per_s: float | None = None
+    # Named when it rejects a request.
+    retry_after_s: float | None = None
     # Says in all answers that it leaves.
     leaving: bool = False
 
@@ -130,6 +132,9 @@
         if fault is EngineFault.SHED:
             not_run = Header(protocol.NOT_EXECUTED, '1')
             busy = HTTPStatus.SERVICE_UNAVAILABLE
+            if self.behaviour.retry_after_s is not None:
+                pause = f'{self.behaviour.retry_after_s:g}'
+                stated = (*stated, Header(protocol.RETRY_AFTER, pause))
             responder.respond(busy, (own_id, not_run, *stated))
             return
         run = EngineRun(
--- a/bamboodeck/gateway/candidates.py
+++ b/bamboodeck/gateway/candidates.py
@@ -114,7 +114,7 @@
         return any(
             not engine.leaving
             and not engine.unlisted
-            and engine.paused_until_s < horizon_s
+            and engine.available_from_s < horizon_s
             for engine in self._context.engines.of_service(exchange.service)
         )
 
--- a/bamboodeck/gateway/engine_events.py
+++ b/bamboodeck/gateway/engine_events.py
@@ -37,6 +37,16 @@
     reported_by: str
 
 
+class EngineDeclines(msgspec.Struct, frozen=True):
+    """Log that an engine wants no requests of this host for some time."""
+
+    engine: str
+    service: str
+    asked_s: float
+    # What it is paused for.
+    declined_s: float
+
+
 class HeadersUnreadable(msgspec.Struct, frozen=True):
     """Log headers of an engine's answer that were ignored."""
 
--- a/bamboodeck/gateway/engines.py
+++ b/bamboodeck/gateway/engines.py
@@ -25,6 +25,9 @@
 # to restart, and at most for three heartbeats.
 INITIAL_PAUSE_S = 0.5
 MAX_PAUSE_S = 3.6
+# An engine in trouble recovers or is replaced within this time; longer pauses
+# would keep a host from it after a mistake in the unit.
+MAX_DECLINED_S = 600.0
 # Requests to an engine are counted over this time.
 SENT_WINDOW_S = 4.0
 # Bounds the leaving engines that are remembered.
@@ -53,6 +56,8 @@
     failure_rate: float = 0.0
     pauses: int = 0
     paused_until_s: float = 0.0
+    # Until when the engine wants no requests of this host.
+    declined_until_s: float = 0.0
     last_progress_s: float = 0.0
     # Set once the registry lists it as draining, or an answer says that it
     # leaves, for the whole incarnation.
@@ -67,11 +72,16 @@
         """Return a name of this start of the engine."""
         return f'{self.entry.engine_id}/{self.entry.started_unix_ms}'
 
+    @property
+    def available_from_s(self) -> float:
+        """Return when the engine's pauses end, by the monotonic clock."""
+        return max(self.paused_until_s, self.declined_until_s)
+
     def is_available(self, now_s: float) -> bool:
         """Tell whether the engine may get new requests."""
         if self.leaving or self.unlisted:
             return False
-        if now_s < self.paused_until_s:
+        if now_s < self.available_from_s:
             return False
         # After a pause, one request at a time probes whether it is back.
         return self.pauses == 0 or self.requests == 0
@@ -113,6 +123,15 @@
         """Raise the failure rate by a failed request."""
         self.failure_rate += (1 - self.failure_rate) * FAILURE_WEIGHT
 
+    def decline(self, duration_s: float, now_s: float) -> float:
+        """Send nothing for as long as the engine asked; return the seconds."""
+        declined_s = min(duration_s, MAX_DECLINED_S)
+        self.declined_until_s = max(
+            self.declined_until_s,
+            now_s + declined_s,
+        )
+        return declined_s
+
     def pause(self, now_s: float) -> float:
         """Pause an unreachable engine with backoff; return the seconds."""
         self.record_failure()
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -223,6 +223,10 @@
     limit_per_s: float | None = None
     # The engine stops soon, and wants no more requests.
     leaving: bool = False
+    # The engine rejects requests of this host for this long.
+    retry_after_s: float | None = None
+    # The limit couldn't be read, which is no reason to end a known one.
+    limit_unreadable: bool = False
     # Names of the headers that couldn't be read.
     unreadable: tuple[str, ...] = ()
 
--- a/bamboodeck/gateway/outcomes.py
+++ b/bamboodeck/gateway/outcomes.py
@@ -5,6 +5,7 @@
 from bamboodeck.gateway.attempt import Attempt
 from bamboodeck.gateway.context import GatewayContext
 from bamboodeck.gateway.engine_events import (
+    EngineDeclines,
     HeadersUnreadable,
 )
 from bamboodeck.gateway.engines import Engine
@@ -53,6 +54,8 @@
             return
         if head.leaving:
             self._leaving.record_answer(attempt.engine)
+        if head.retry_after_s is not None:
+            self._decline(attempt.engine, head.retry_after_s)
         if head.unreadable:
             self._context.log.warn(
                 HeadersUnreadable(
@@ -61,12 +64,12 @@
                     ','.join(head.unreadable),
                 ),
             )
-            return
-        self._limits.record_head(
-            attempt.engine,
-            head.limit_per_s,
-            attempt.began_s,
-        )
+        if not head.limit_unreadable:
+            self._limits.record_head(
+                attempt.engine,
+                head.limit_per_s,
+                attempt.began_s,
+            )
 
     def on_answered(self, exchange: Exchange, attempt: Attempt) -> None:
         """Record a complete answer, which may be a server error."""
@@ -143,6 +146,18 @@
         ratio = observed_ms / max(attempt.estimate.first_token_ms, 1.0)
         self._rollouts.record_answer(attempt.engine, ratio, failed=failed)
 
+    def _decline(self, engine: Engine, duration_s: float) -> None:
+        declined_s = engine.decline(duration_s, self._context.now_s())
+        self._context.metrics.count('engine_declines')
+        self._context.log.emit(
+            EngineDeclines(
+                engine.entry.engine_id,
+                engine.entry.service,
+                duration_s,
+                declined_s,
+            ),
+        )
+
     def _pause(self, engine: Engine, reason: str) -> None:
         pause_s = engine.pause(self._context.now_s())
         self._context.log.emit(
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -15,6 +15,7 @@
 from bamboodeck.platform.host_settings import MILLISECONDS_PER_S
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 _MAX_CONFIDENCE = 100
 _HEX = 16
 
@@ -131,7 +132,15 @@
         confidence = None
     limit = by_name.get(protocol.SERVER_LIMIT.lower())
     limit_per_s = _parse_number(limit)
-    limit_unreadable = limit is not None and limit_per_s is None
+    retry_after = None
+    if head.status == UNAVAILABLE:
+        retry_after = by_name.get(protocol.RETRY_AFTER.lower())
+    retry_after_s = _parse_number(retry_after)
+    unreadable = []
+    if limit is not None and limit_per_s is None:
+        unreadable.append(protocol.SERVER_LIMIT)
+    if retry_after is not None and retry_after_s is None:
+        unreadable.append(protocol.RETRY_AFTER)
     return EngineHead(
         status=head.status,
         headers=tuple(
@@ -150,7 +159,9 @@
         close_delimited=head.close_delimited,
         limit_per_s=limit_per_s,
         leaving=by_name.get(protocol.SERVER_LEAVING.lower()) == '1',
-        unreadable=(protocol.SERVER_LIMIT,) if limit_unreadable else (),
+        limit_unreadable=protocol.SERVER_LIMIT in unreadable,
+        retry_after_s=retry_after_s,
+        unreadable=tuple(unreadable),
     )
 
 
