Take turns by rank once the store fails for a whole zone

Cause: a delay of 0.5 to 1.5 times the number of hosts keeps the rate on average only, and not from the start. Now the first retry comes by rank, a second each.

--- a/bamboodeck/gateway/store_calls.py
+++ b/bamboodeck/gateway/store_calls.py
@@ -1,9 +1,14 @@
 """Track a host's calls to the store, and when it may retry a failed one."""
 
-from bamboodeck.gateway.store_polling import ZoneRank, find_retry_delay_s
+from bamboodeck.gateway.store_polling import (
+    MAX_RETRY_S,
+    ZoneRank,
+    find_retry_delay_s,
+)
 
 # Doubling further would overflow the delay.
 MAX_FAILURES = 16
+TURN_SPREAD_S = 0.5
 
 
 class StoreCalls:
@@ -49,4 +54,8 @@
             max(self.failures, 1),
             zone_served=zone_served,
         )
-        return self.failed_s + delay_s * self._retry_spread
+        if delay_s <= MAX_RETRY_S:
+            return self.failed_s + delay_s * self._retry_spread
+        # Turns are a second apart, and stay so.
+        spread_s = (self._retry_spread - 1) * TURN_SPREAD_S
+        return self.failed_s + delay_s + spread_s
--- a/bamboodeck/gateway/store_polling.py
+++ b/bamboodeck/gateway/store_polling.py
@@ -144,7 +144,10 @@
     delay_s = min(INITIAL_RETRY_S * 2 ** (failures - 1), MAX_RETRY_S)
     if zone_served or rank.rank == 0 or rank.hosts < MIN_SHARING_HOSTS:
         return delay_s
-    return max(delay_s, ZONE_RETRY_PERIOD_S * (rank.hosts - 1))
+    # The calls of a zone often fail at the same moment. The hosts take turns
+    # from then on, so that one of them finds out soon that the store is back.
+    turn = rank.rank if failures == 1 else rank.hosts - 1
+    return max(delay_s, ZONE_RETRY_PERIOD_S * turn)
 
 
 class StoreView(msgspec.Struct, frozen=True):
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -14,9 +14,9 @@
 SETTLE_S = 12.0
 
 
-def start_zone(hosts: int) -> VirtualZone:
+def start_zone(hosts: int, seed: int = 1) -> VirtualZone:
     """Run a zone until its hosts share their polls."""
-    zone = VirtualZone(hosts, BOUNDS)
+    zone = VirtualZone(hosts, BOUNDS, seed)
     zone.clock.run(SETTLE_S)
     return zone
 
@@ -101,6 +101,22 @@
         zone.clock.run(BOUNDS.stability_s)
         assert zone.knowing() == hosts
 
+    @pytest.mark.parametrize('seed', range(1, 6))
+    @pytest.mark.parametrize('away_s', [0.5, 3.0, 20.0])
+    @pytest.mark.parametrize('cut_off', [1, 2, 3])
+    @pytest.mark.parametrize('hosts', [6, 12, 30, 60, 200])
+    def test_change_late_while_first_are_cut_off(
+        self, hosts: int, cut_off: int, away_s: float, seed: int
+    ) -> None:
+        """Follow within the window though the first hosts stay cut off."""
+        zone = start_zone(hosts, seed)
+        zone.serves = lambda rank: False
+        zone.clock.run(away_s)
+        zone.put_change()
+        zone.serves = lambda rank: rank >= cut_off
+        zone.clock.run(BOUNDS.stability_s)
+        assert zone.knowing() == hosts
+
 
 class TestManyChanges:
     """Take many changes at once from the zone, not from the store."""
