Have the soak restore the store, and engines name limits, leave and decline

A check counts the runs at a limited engine by the users' rule, where no host is disturbed; its own test shows what it detects. Each fault is recorded in one place.

--- a/bamboodeck/bench/gateway_soak/checks.py
+++ b/bamboodeck/bench/gateway_soak/checks.py
@@ -25,6 +25,7 @@
 GRACE_BOUND_S = 6.0
 # Delay that a busy machine may add to a bound.
 TOLERANCE_S = 1.0
+LIMIT_WINDOW_S = 4.0
 # Disturbance cause of a graceful stop.
 GRACEFUL_STOP = 'SIGTERM'
 # Statuses that guarantee that no engine has run the request.
@@ -77,6 +78,7 @@
             _check_interruption(record, request, runs_by_id[request.request_id])
         )
     found.extend(_check_drains(record, runs_by_id, requests_by_id))
+    found.extend(_check_limits(record, runs_by_id))
     found.extend(_check_exits(record))
     found.extend(Violation('handlers', '', line) for line in error_lines)
     found.extend(
@@ -206,6 +208,32 @@
                 yield Violation('leaving', request_id, each.engine_id)
 
 
+def _check_limits(
+    record: RunRecord,
+    runs_by_id: dict[str, list[StartedRun]],
+) -> Iterator[Violation]:
+    hosts = {request.host for request in record.requests}
+    for limit in record.limits:
+        settled_s = limit.from_s + STABILITY_WINDOW_S + TOLERANCE_S
+        arrivals_s = [
+            each.run.began_s
+            for runs in runs_by_id.values()
+            for each in runs
+            if each.engine_id == limit.engine_id
+            and settled_s <= each.run.began_s <= limit.until_s
+        ]
+        for began_s in arrivals_s:
+            ended_s = began_s + LIMIT_WINDOW_S
+            count = sum(began_s <= each < ended_s for each in arrivals_s)
+            allowed = 1.5 * LIMIT_WINDOW_S * limit.limit_per_s + 5
+            if count > allowed and all(
+                record.is_undisturbed(host, limit.from_s, ended_s)
+                for host in hosts
+            ):
+                detail = f'{count} requests in 4 s, {allowed:.0f} allowed'
+                yield Violation('engine limit', limit.engine_id, detail)
+
+
 def _is_undisturbed_for(
     record: RunRecord,
     request: SentRequest | None,
--- a/bamboodeck/bench/gateway_soak/faults.py
+++ b/bamboodeck/bench/gateway_soak/faults.py
@@ -4,13 +4,15 @@
 from collections.abc import Callable
 from random import Random
 
+from bamboodeck.bench.gateway_soak.limits import EngineLimits
 from bamboodeck.bench.gateway_soak.record import (
     Disturbance,
     EngineDrain,
     RouteChange,
     RunRecord,
 )
-from bamboodeck.bench.gateway_soak.system import SoakSystem
+from bamboodeck.bench.gateway_soak.system import REWRITE_S, SoakSystem
+from bamboodeck.fakes.key_value.store import RevisionedStore
 from bamboodeck.fakes.links import LinkState, Relay, SetLink
 from bamboodeck.fakes.platform.engine import EngineFault
 from bamboodeck.fakes.platform.store import StoreMode
@@ -26,6 +28,7 @@
 MAX_ENGINE_FAULTS = 12
 # Killing all hosts at once is rarer than the other faults.
 KILL_ALL_PROBABILITY = 0.5
+RETRY_AFTER_S = (None, 0.5, 3.0)
 LINK_DELAYS_MS = (20.0, 80.0, 300.0)
 
 
@@ -44,6 +47,8 @@
         self._random = random
         self._stopped = False
         self._routes: tuple[str, ...] = ()
+        self._saved: RevisionedStore | None = None
+        self._limits = EngineLimits(system, record, random)
         # Open disturbances of hosts that were signalled or started and have
         # not been ready since.
         self._unready_hosts: dict[str, Disturbance] = {}
@@ -64,6 +69,8 @@
             self.change_routes,
             self.disturb_store,
             self.forget_history,
+            self.restore_store,
+            lambda: self._limits.limit(self._draw_engine()),
             self.kill_all,
         )
 
@@ -118,7 +125,7 @@
         process = self._system.hosts[host].process
         if process.handles_signal(signal.SIGHUP):
             process.send_signal(signal.SIGHUP)
-            self._record_fault('reload', host)
+            self._record.record_fault('reload', host, self._now_s())
 
     def pause_host(self) -> None:
         """Suspend a process for a random time."""
@@ -147,8 +154,11 @@
         engine = self._system.engines[self._draw_engine()]
         fault = self._random.choice(tuple(EngineFault))
         count = self._random.randint(1, MAX_ENGINE_FAULTS)
+        engine.behaviour.retry_after_s = self._random.choice(RETRY_AFTER_S)
         engine.faults.extend(fault for _ in range(count))
-        self._record_fault(f'engine-{fault.value}', engine.engine_id)
+        self._record.record_fault(
+            f'engine-{fault.value}', engine.engine_id, self._now_s()
+        )
 
     def crash_engine(self) -> None:
         """Crash an engine, expire its entry later, and start a replacement."""
@@ -159,7 +169,7 @@
             ENTRY_EXPIRY_S,
             lambda: self._system.deregister_engine(engine_id),
         )
-        self._record_fault('engine-crash', engine_id)
+        self._record.record_fault('engine-crash', engine_id, self._now_s())
 
     def drain_engine(self) -> None:
         """Drain an engine, stop it later, and start a replacement."""
@@ -167,7 +177,7 @@
         self._system.replace_engine(engine_id)
         self._system.drain_engine(engine_id)
         self._record.drains.append(EngineDrain(engine_id, self._now_s()))
-        self._record_fault('engine-drain', engine_id)
+        self._record.record_fault('engine-drain', engine_id, self._now_s())
 
         def remove() -> None:
             self._system.deregister_engine(engine_id)
@@ -181,7 +191,9 @@
         engine_id = self._draw_engine()
         state, delay_ms = self._draw_link_state()
         self._system.set_engine_link(engine_id, state, delay_ms)
-        self._record_fault(f'engine-link-{state.value}', engine_id)
+        self._record.record_fault(
+            f'engine-link-{state.value}', engine_id, self._now_s()
+        )
         self._system.loop.scheduler.call_after(
             self._draw_duration_s(),
             lambda: self._system.set_engine_link(engine_id, LinkState.UP, 0),
@@ -198,7 +210,7 @@
         self._routes = routes
         self._record.routes.append(RouteChange(prefix, True, now_s))
         self._system.write_configuration(routes)
-        self._record_fault('configuration', prefix)
+        self._record.record_fault('configuration', prefix, self._now_s())
 
     def disturb_store(self) -> None:
         """Have the store refuse calls, lose its replies or never reply."""
@@ -220,6 +232,16 @@
         self._system.store.compact_history()
         self._record_disturbance('', 'store-forgets').until_s = self._now_s()
 
+    def restore_store(self) -> None:
+        """Restore the store from the copy taken last, and take another."""
+        saved = self._saved
+        self._saved = self._system.store.take_copy()
+        if saved is None:
+            return
+        self._system.restore_store(saved)
+        disturbance = self._record_disturbance('', 'store-restored')
+        disturbance.until_s = disturbance.from_s + REWRITE_S
+
     def _schedule_next(self) -> None:
         self._system.loop.scheduler.call_after(
             self._random.random() * MAX_FAULT_INTERVAL_S,
@@ -264,7 +286,7 @@
     def _record_disturbance(self, host: str, cause: str) -> Disturbance:
         disturbance = Disturbance(host, cause, self._now_s())
         self._record.disturbances.append(disturbance)
-        self._record_fault(cause, host)
+        self._record.record_fault(cause, host, self._now_s())
         return disturbance
 
     def _schedule_recovery(
@@ -287,10 +309,5 @@
     def _draw_engine(self) -> str:
         return self._random.choice(tuple(self._system.engines))
 
-    def _record_fault(self, kind: str, subject: str) -> None:
-        counts = self._record.fault_counts
-        counts[kind] = counts.get(kind, 0) + 1
-        self._record.trace.append(f'{self._now_s():.3f} {kind} {subject}')
-
     def _now_s(self) -> float:
         return self._system.loop.scheduler.now_s()
--- a/bamboodeck/bench/gateway_soak/record.py
+++ b/bamboodeck/bench/gateway_soak/record.py
@@ -100,6 +100,15 @@
     written_s: float
 
 
+class NamedLimit(msgspec.Struct, frozen=True):
+    """Record the requests a second that an engine takes for some time."""
+
+    engine_id: str
+    limit_per_s: float
+    from_s: float
+    until_s: float
+
+
 class ProcessExit(msgspec.Struct, frozen=True):
     """Record a process exit and the signal sent before it, if any."""
 
@@ -117,6 +126,7 @@
     disturbances: list[Disturbance] = msgspec.field(default_factory=list)
     routes: list[RouteChange] = msgspec.field(default_factory=list)
     drains: list[EngineDrain] = msgspec.field(default_factory=list)
+    limits: list[NamedLimit] = msgspec.field(default_factory=list)
     exits: list[ProcessExit] = msgspec.field(default_factory=list)
     # By kind of fault.
     fault_counts: dict[str, int] = msgspec.field(default_factory=dict)
@@ -132,6 +142,11 @@
         self.disturbances.append(Disturbance('', cause, from_s, until_s))
         self.fault_counts[cause] = self.fault_counts.get(cause, 0) + 1
 
+    def record_fault(self, kind: str, subject: str, now_s: float) -> None:
+        """Count and trace an injected fault."""
+        self.fault_counts[kind] = self.fault_counts.get(kind, 0) + 1
+        self.trace.append(f'{now_s:.3f} {kind} {subject}')
+
     def is_undisturbed(
         self,
         host: str,
--- a/bamboodeck/bench/gateway_soak/system.py
+++ b/bamboodeck/bench/gateway_soak/system.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 
 from bamboodeck.bench.gateway_soak.processes import GatewayProcess
+from bamboodeck.fakes.key_value.store import RevisionedStore
 from bamboodeck.fakes.links import LinkState, Relay, Route, SetLink
 from bamboodeck.fakes.platform.documents import (
     MODELS,
@@ -45,6 +46,10 @@
 FindAddress = Callable[[], Address]
 
 
+# How long after a restore engines and operators write again.
+REWRITE_S = 1.0
+
+
 class SoakHost:
     """Group a gateway process with its caller and store links."""
 
@@ -82,6 +87,8 @@
         self._links: dict[str, Relay] = {}
         self._services: dict[str, str] = {}
         self._zones: dict[str, str] = {}
+        self._states: dict[str, str] = {}
+        self._routes: tuple[str, ...] = ()
         self._engine_count = 0
         self.version = 0
         self.store = PlatformStoreFake(loop, find_address())
@@ -97,11 +104,30 @@
     def write_configuration(self, extra_routes: tuple[str, ...]) -> None:
         """Write the next version of the configuration to the store."""
         self.version += 1
+        self._routes = extra_routes
         self.store.put(
             protocol.CONFIGURATION_KEY,
             build_configuration(self.version, extra_routes=extra_routes),
         )
 
+    def restore_store(self, saved: RevisionedStore) -> None:
+        """Restore the store from a copy; its writers write again later."""
+        self.store.restore(saved)
+        self.loop.scheduler.call_after(REWRITE_S, self._write_again)
+
+    def _write_again(self) -> None:
+        self.store.put(
+            protocol.CONFIGURATION_KEY,
+            build_configuration(self.version, extra_routes=self._routes),
+        )
+        for engine_id, state in self._states.items():
+            if engine_id in self.engines:
+                self._register(engine_id, state)
+                continue
+            key = f'{protocol.ENGINE_PREFIX}{engine_id}'
+            if self.store.read(key) is not None:
+                self.store.remove(key)
+
     def add_engine(self, service: str, zone: str) -> str:
         """Start an engine behind a link, register it and return its id."""
         self._engine_count += 1
@@ -120,7 +146,8 @@
         return engine_id
 
     def drain_engine(self, engine_id: str) -> None:
-        """Mark an engine as draining in the store."""
+        """Mark an engine as draining in the store and in its answers."""
+        self.engines[engine_id].behaviour.leaving = True
         self._register(engine_id, 'draining')
 
     def stop_engine(self, engine_id: str) -> None:
@@ -163,6 +190,7 @@
             self.stop_engine(engine_id)
 
     def _register(self, engine_id: str, state: str) -> None:
+        self._states[engine_id] = state
         engine = self.engines[engine_id]
         entry = engine.build_registry_entry(
             self._services[engine_id],
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -16,6 +16,7 @@
 from bamboodeck.bench.gateway_soak.record import (
     Disturbance,
     EngineDrain,
+    NamedLimit,
     ProcessExit,
     RequestKind,
     RouteChange,
@@ -169,6 +170,30 @@
                 == expected
             )
 
+    @pytest.mark.parametrize(
+        ('runs', 'disturbances', 'expected'),
+        [
+            (18, (), {'engine limit'}),
+            (17, (), set()),
+            (18, (Disturbance(HOST, 'pause', SENT_S + 9, SENT_S + 10),), set()),
+        ],
+    )
+    def test_exceeded_limit(
+        self, runs: int, disturbances: tuple, expected: set
+    ) -> None:
+        """Detect more runs in 4 s than an engine's limit allows."""
+        began_s = [SENT_S + 10 + number * 0.1 for number in range(runs)]
+        limits = [NamedLimit('shop-1', 2.0, SENT_S, SENT_S + 20)]
+        assert (
+            find_violations(
+                build_request(kind=RequestKind.SAFE),
+                [build_run(began_s=each) for each in began_s],
+                limits=limits,
+                disturbances=list(disturbances),
+            )
+            == expected
+        )
+
 
 class TestConfiguration:
     """Detect a host that applies a configuration too late."""
