--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,6 +13,8 @@
 REVOKED_KEY = 'anfqasnmgkcuyj8pjbvk'
 # Two times `config_storm`: a change each 0.33 s for 4 s.
 CHANGES = 24
+FIRST_VERSION = 2
+FIRST_WAIT_S = 3.0
 CHANGE_PERIOD_S = 0.33
 REFUSED_S = 9.0
 # The stability window of 4 s, then `config_ms` of 2.5 s, and a margin. That is
@@ -53,14 +55,13 @@
 
 async def change(case: Case) -> None:
     """Write one version after the other."""
-    version = 2
+    version = FIRST_VERSION
     last = version + CHANGES
-    while version <= last:
-        if version > 2:
-            await asyncio.sleep(CHANGE_PERIOD_S)
+    while version < last:
+        version += 1
         revision = case.store.put('op/config', build_change(version, last))
         case.record.add('manifest', version, 'revision', revision)
-        version += 1
+        await asyncio.sleep(CHANGE_PERIOD_S)
 
 
 async def check(case: Case, gateway: int) -> list[str]:
@@ -99,21 +100,19 @@
     door = case.gateways[0].door
     door.refuses = case.trouble
     case.record.add('the store refuses', case.gateways[0].name, door.refuses)
-    await asyncio.sleep(REFUSED_S)
+    await asyncio.gather(change(case), asyncio.sleep(REFUSED_S))
     door.refuses = False
     case.record.add('the store serves all machines')
+    await asyncio.sleep(SETTLE_S)
 
 
 async def play(case: Case) -> str:
     """Look for requests that are handled as an older version allows."""
     await case.add_engines(('shop-a', 'shop-b', 'shop-c'), SHOP, behave)
-    await case.add_gateway('pri-a')
-    await case.add_gateway('gor-a')
-    changing = asyncio.create_task(change(case))
-    await asyncio.sleep(1)
+    await case.add_gateways('pri-a', 'gor-a')
+    case.store.put('op/config', build_change(FIRST_VERSION, 0))
+    await asyncio.sleep(FIRST_WAIT_S)
     await refuse(case)
-    await changing
-    await asyncio.sleep(SETTLE_S)
     return '; '.join(await check_on(case))
 
 
--- a/review/support/case.py
+++ b/review/support/case.py
@@ -90,6 +90,12 @@
         await self.until_ready(gateway)
         return gateway
 
+    async def add_gateways(self, *zones: str) -> None:
+        """Start a gateway in each zone, one after the other."""
+        left = list(zones)
+        while left:
+            await self.add_gateway(left.pop(0))
+
     async def until_ready(self, gateway: Gateway) -> None:
         """Wait until a gateway takes requests."""
         give_up_s = self.record.now_s() + START_TIMEOUT_S
