--- a/review/support/store.py
+++ b/review/support/store.py
@@ -81,6 +81,15 @@
     port: int
     # Whether calls of this machine get 503.
     refuses: bool = False
+    # How many watches have arrived.
+    watches: int = 0
+    connections: set[asyncio.StreamWriter] = field(default_factory=set)
+    # Those that get no answer any more, and stay open.
+    silent: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    def silence(self) -> None:
+        """Let the open connections go silent, while new ones work."""
+        self.silent |= self.connections
 
 
 Reply = tuple[int, dict[str, Any]]
@@ -98,7 +107,7 @@
     forgotten: int = 0
     _lease_ids: Any = field(default_factory=lambda: itertools.count(1))
     _servers: list[asyncio.Server] = field(default_factory=list)
-    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _doors: list[Door] = field(default_factory=list)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def open_door(self) -> Door:
@@ -109,12 +118,14 @@
             reader: asyncio.StreamReader,
             writer: asyncio.StreamWriter,
         ) -> None:
-            self._writers.add(writer)
+            door.connections.add(writer)
             with contextlib.suppress(OSError):
                 await self._serve(door, reader, writer)
-            self._writers.discard(writer)
+            door.connections.discard(writer)
             writer.close()
 
+        self._doors.append(door)
+
         self._servers.append(
             await asyncio.start_server(
                 serve,
@@ -141,8 +152,9 @@
         """Stop listening."""
         for server in self._servers:
             server.close()
-        for writer in tuple(self._writers):
-            writer.transport.abort()
+        for door in self._doors:
+            for writer in tuple(door.connections):
+                writer.transport.abort()
 
     async def expire(self) -> None:
         """End leases that were not renewed, and forget old history."""
@@ -201,6 +213,8 @@
             else:
                 status, document = await self._answer(door, request)
                 body = json.dumps(document).encode()
+                if writer in door.silent:
+                    return await _wait_for_end(reader)
                 writer.write(build_answer(status, _JSON, body))
             await writer.drain()
             request = await read_request(reader)
@@ -257,6 +271,7 @@
         return (_SERVED, page)
 
     async def _watch(self, door: Door, query: dict[str, str]) -> Reply:
+        door.watches += 1
         after = int(query['after'])
         ends_s = time.monotonic() + int(query['wait_ms']) / _MS
         left_s = ends_s - time.monotonic()
@@ -314,3 +329,9 @@
             return (_MISSING, {})
         lease.ends_s = time.monotonic() + lease.ttl_s
         return (_SERVED, {'ttl_ms': lease.ttl_s * _MS})
+
+
+async def _wait_for_end(reader: asyncio.StreamReader) -> None:
+    chunk = await reader.read(LINE_LIMIT_BYTES)
+    while chunk:
+        chunk = await reader.read(LINE_LIMIT_BYTES)
