--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,8 +7,8 @@
 from review.support.engine import Call
 from review.support.manifest import PAY, SHOP
 
-ENGINES = ('shop-a', 'shop-b', 'shop-c')
-CALLERS = 6
+ENGINES = tuple(f'shop-{letter}' for letter in 'abcdefgh')
+CALLERS = 16
 WORK_S = 0.2
 CALM_S = 3.0
 # The entry of the first engine is removed this long after the silence began.
--- a/review/support/case.py
+++ b/review/support/case.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from review.support.caller import Channel, Question, ask, connect
+from review.support.caller import Question, ask, connect
 from review.support.engine import Behaviour, Engine
 from review.support.gateway import Gateway
 from review.support.manifest import build_manifest
@@ -112,11 +112,6 @@
         port = self.gateways[gateway].callers_port
         return await ask(port, self.record, question)
 
-    async def connect(self, gateway: int = 0) -> Channel:
-        """Open a connection that is kept."""
-        port = self.gateways[gateway].callers_port
-        return await connect(port, self.record)
-
     async def end(self) -> None:
         """End all processes that were started."""
         self.store.close()
@@ -161,7 +156,8 @@
 async def _judge(case: Case, play: Play) -> int:
     try:
         broken = await asyncio.wait_for(play(case), MAX_DURATION_S)
-    except (NotRunError, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever stops the play says nothing about the rule.
         case.record.add('not run:', repr(error))
         return NOT_RUN
     case.record.add('broken:' if broken else 'held', broken)
