Drop a success without a stamp at its head

Cause: the stamp was checked at the end of an answer that is held. One of over 1 MiB is forwarded as it comes and never reached that check. Ruled out: a cause in the framing.

Why the fix works: the head is all that is needed, and every answer passes Exchange.on_attempt_head before any of it can be forwarded, whatever the route and size. The two later checks go. An empty stamp is none.

--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -99,13 +99,6 @@
             exchange.responder.end()
             return
         self._complete = True
-        if head.status < _FIRST_ERROR and not head.stamped:
-            exchange.handle_failure(
-                attempt,
-                FailureCause.BROKEN,
-                'answer has no stamp',
-            )
-            return
         exchange.record_answered(attempt)
         if head.status >= _SERVER_ERROR and exchange.route.retryable:
             exchange.handle_failure(
@@ -166,9 +159,6 @@
         """Check the head; the answer may be escalated to a larger model."""
         if head.status != _OK or head.not_run:
             return
-        if not head.stamped:
-            attempt.fail('stream has no stamp', _MALFORMED)
-            return
         self._streaming = True
         if not self._exchange.responder.started:
             self._exchange.check_confidence(attempt, head)
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -345,6 +345,10 @@
         self._owner.outcomes.on_head(self, attempt)
         if not head.not_run:
             self.may_have_run = True
+        if head.unproved:
+            # Checked here, as large answers are forwarded before their end.
+            attempt.fail('answer has no stamp', FailureKind.MALFORMED)
+            return
         self.delivery.on_head(attempt, head)
 
     def on_attempt_data(self, attempt: Attempt, chunk: bytes) -> None:
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -8,6 +8,8 @@
 from bamboodeck.http.messages import Address, Header
 from bamboodeck.http.relay_server import CallerLimits
 
+_FIRST_ERROR = 400
+
 
 @enum.unique
 class RouteKind(enum.Enum):
@@ -230,6 +232,13 @@
     # Names of the headers that couldn't be read.
     unreadable: tuple[str, ...] = ()
 
+    @property
+    def unproved(self) -> bool:
+        """Tell whether it reports a success without the engine's stamp."""
+        if self.not_run or self.stamped:
+            return False
+        return self.status < _FIRST_ERROR
+
 
 class HostSettings(msgspec.Struct, frozen=True):
     """Hold the settings that the platform gives a host."""
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -154,7 +154,7 @@
             or head.status == MISDIRECTED
         ),
         misdirected=head.status == MISDIRECTED,
-        stamped=protocol.STAMP.lower() in by_name,
+        stamped=bool(by_name.get(protocol.STAMP.lower(), '').strip()),
         confidence=None if confidence is None else int(confidence),
         close_delimited=head.close_delimited,
         limit_per_s=limit_per_s,
