Drop engines that left while only this host lost its calls

Cause: any failed call counted as an outage of the store, after which engines that are missing get 2.5 s to be listed again. Nothing had lapsed here.

Ruled out: a removal that is read late.

Why the fix works: an entry lapses after three heartbeats of silence, so only an outage of two or more can make one lapse. Hosts record when the store last served them or, by their messages, any other host; a gap of two heartbeats is an outage, and a shorter one is none. After a real outage engines keep their 2.5 s, counted from when any host was served, and hosts ask again sooner meanwhile.

The virtual store answers waiting calls at a change, as the real one does.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -19,7 +19,7 @@
     StoreRegained,
     StoreRestored,
 )
-from bamboodeck.gateway.known_state import KnownState
+from bamboodeck.gateway.known_state import RELIST_S, KnownState
 from bamboodeck.gateway.peer_messages import StoreQuery, StoreUpdate
 from bamboodeck.gateway.ports import (
     Fact,
@@ -35,8 +35,10 @@
 )
 from bamboodeck.gateway.rollout_coordinator import RolloutCoordinator
 from bamboodeck.gateway.store_calls import StoreCalls
+from bamboodeck.gateway.store_contact import StoreContact
 from bamboodeck.gateway.store_polling import (
     CATCH_UP_S,
+    RELIST_PAUSE_S,
     SECOND_STALENESS_FRACTION,
     ChangeLog,
     PollSchedule,
@@ -82,6 +84,7 @@
         self._find_zone_rank = find_zone_rank
         self._changes = ChangeLog()
         self._calls = StoreCalls()
+        self.contact = StoreContact(context)
         self._timer: ScheduledCall | None = None
         self._lost_since_s: float | None = None
         self._behind_since_s: float | None = None
@@ -148,6 +151,7 @@
     def _record_zone_confirmed(self, message: StoreUpdate) -> None:
         # Counts also if this host can't follow yet.
         age_s = message.age_ms / _MILLISECONDS_PER_S
+        self.contact.record_served(message.age_ms)
         self._zone_confirmed_s = max(
             self._zone_confirmed_s,
             self._context.now_s() - age_s,
@@ -185,10 +189,11 @@
     def _apply_news(self, message: StoreUpdate, now_s: float) -> None:
         if self._lost_since_s is not None:
             self._on_store_regained(message.revision)
-        self._known.relist_until_s = max(
-            self._known.relist_until_s,
-            now_s + message.relist_ms / _MILLISECONDS_PER_S,
-        )
+        if self.contact.outage_ended_s > now_s - RELIST_S:
+            self._known.relist_until_s = max(
+                self._known.relist_until_s,
+                now_s + message.relist_ms / _MILLISECONDS_PER_S,
+            )
         if message.revision > self.revision:
             self._apply_changes(message.facts, message.revision)
         self._context.registry_confirmed_s = max(
@@ -216,6 +221,7 @@
         self._calls.in_flight = False
         match reply:
             case Snapshot():
+                self.contact.record_answer()
                 if not self.complete:
                     self._apply_snapshot(reply)
                 self._poll()
@@ -277,7 +283,7 @@
                 self._record_reply(revision)
                 if revision > self.revision:
                     self._apply_changes(facts, revision)
-                self._schedule_poll(self._schedule().pause_s if facts else 0)
+                self._schedule_poll(self._find_pause_s() if facts else 0)
             case HistoryLost(era=era):
                 self._context.metrics.count('history_lost')
                 self._context.log.warn(StoreHistoryLost(self.revision, era))
@@ -296,6 +302,12 @@
         )
         self._on_store_lost('the answer is older than the known state')
 
+    def _find_pause_s(self) -> float:
+        pause_s = self._schedule().pause_s
+        if self._known.relist_left_s:
+            return min(pause_s, RELIST_PAUSE_S)
+        return pause_s
+
     def _read_snapshot(self) -> None:
         if self._calls.in_flight:
             return
@@ -353,6 +365,7 @@
         now_s = self._context.now_s()
         self._context.registry_confirmed_s = now_s
         self._calls.record_reply(now_s)
+        self.contact.record_answer()
         self._on_store_regained(revision)
 
     def _is_staler_than(self, fraction: float) -> bool:
@@ -406,8 +419,10 @@
         away_s = now_s - self._lost_since_s
         self._lost_since_s = None
         if self.complete:
-            self._known.expect_relisting()
-        self._context.log.emit(StoreRegained(revision, away_s))
+            self._known.expect_relisting(self.contact.outage_ended_s)
+        self._context.log.emit(
+            StoreRegained(revision, away_s, self._known.relist_left_s),
+        )
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         if self.complete and snapshot.era > self.position.era:
--- a/bamboodeck/gateway/engine_events.py
+++ b/bamboodeck/gateway/engine_events.py
@@ -53,3 +53,13 @@
     request_id: str
     engine: str
     names: str
+
+
+class EngineMissing(msgspec.Struct, frozen=True):
+    """Log that an engine's entry may have lapsed in an outage."""
+
+    engine: str
+    reason: str
+    revision: int
+    # Time left to be listed again.
+    relist_s: float
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -67,6 +67,9 @@
 
     revision: int
     away_s: float
+    # Time left for engines that are missing to be listed again; 0 if the store
+    # served other hosts, or was away too briefly for entries to lapse.
+    relist_s: float
 
 
 class StoreHistoryLost(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -136,7 +136,12 @@
             own_zone_peers += other_zone_peers
         evidence = self._rollouts.build_evidence_report()
         self.link.send(
-            HostUpdate(self._list_loads(), evidence, crashes),
+            HostUpdate(
+                self._list_loads(),
+                evidence,
+                crashes,
+                self._discovery.contact.find_answer_age_ms(),
+            ),
             (peer.address for peer in own_zone_peers),
         )
         self._publish_sessions()
@@ -259,6 +264,8 @@
         if host not in self.members.peers:
             return
         self.members.mark_seen(host)
+        if message.store_age_ms is not None and self._discovery is not None:
+            self._discovery.contact.record_served(message.store_age_ms)
         now_s = self._context.now_s()
         self._context.engines.set_peer_loads(
             host,
--- a/bamboodeck/gateway/known_state.py
+++ b/bamboodeck/gateway/known_state.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.engine_events import EngineMissing
 from bamboodeck.gateway.events import (
     ConfigurationApplied,
     ConfigurationIgnored,
@@ -83,15 +84,23 @@
         self._left: OrderedDict[str, _LeftEngine] = OrderedDict()
         self._held_back: dict[str, EngineSeen] = {}
 
-    def expect_relisting(self) -> None:
-        """Give missing engines the time to be listed again."""
-        self.relist_until_s = self._context.now_s() + RELIST_S
+    @property
+    def relist_left_s(self) -> float:
+        """Return how long missing engines may still be listed again."""
+        return max(self.relist_until_s - self._context.now_s(), 0.0)
+
+    def expect_relisting(self, outage_ended_s: float) -> None:
+        """Give engines missing after an outage time to be listed again."""
+        self.relist_until_s = max(
+            self.relist_until_s,
+            outage_ended_s + RELIST_S,
+        )
 
     def begin_history(self, facts: Iterable[Fact], era: int) -> None:
         """Apply a snapshot of a store that was restored from a copy."""
         facts = tuple(facts)
         self.configuration_revision = 0
-        self.expect_relisting()
+        self.expect_relisting(self._context.now_s())
         self._rollouts.begin_history(era)
         parts = {fact.part_id for fact in facts if isinstance(fact, PartListed)}
         suspects = self._context.suspect_parts
@@ -272,16 +281,20 @@
 
     def _unlist_engine(self, fact: EngineUnlisted) -> None:
         self._held_back.pop(fact.engine_id, None)
-        left_s = self.relist_until_s - self._context.now_s()
-        if left_s <= 0:
+        left_s = self.relist_left_s
+        if not left_s:
             self._drop(fact)
             return
-        if fact.engine_id not in self._missing:
-            self._missing[fact.engine_id] = fact
-            self._context.loop.scheduler.call_after(
-                left_s,
-                lambda: self._drop_missing(fact),
-            )
+        if fact.engine_id in self._missing:
+            return
+        self._missing[fact.engine_id] = fact
+        self._context.log.emit(
+            EngineMissing(fact.engine_id, fact.reason, fact.revision, left_s),
+        )
+        self._context.loop.scheduler.call_after(
+            left_s,
+            lambda: self._drop_missing(fact),
+        )
 
     def _drop_missing(self, fact: EngineUnlisted) -> None:
         if self._missing.pop(fact.engine_id, None) is not None:
--- a/bamboodeck/gateway/peer_messages.py
+++ b/bamboodeck/gateway/peer_messages.py
@@ -73,6 +73,8 @@
     loads: tuple[EngineLoad, ...] = ()
     evidence: EvidenceReport = EvidenceReport()
     crashes: tuple[CrashNotice, ...] = ()
+    # Time since the store answered the host; None if it never did.
+    store_age_ms: int | None = None
 
 
 class ZoneUpdate(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
--- a/bamboodeck/gateway/store_polling.py
+++ b/bamboodeck/gateway/store_polling.py
@@ -29,6 +29,11 @@
 # A pause after a change batches the following ones, since each call is billed.
 UNSHARED_PAUSE_FRACTION = 0.4
 SHARED_PAUSE_FRACTION = 0.2
+# While engines may be listed again, their entries are read soon.
+RELIST_PAUSE_S = 0.25
+# An entry lapses after three heartbeats of silence, the first of which may have
+# begun before the outage.
+LAPSING_OUTAGE_HEARTBEATS = 2
 # How long a call waits at the store for a change.
 SHARED_WAIT_FRACTION = 0.25
 # Longer than the first host's wait and its publishing period together.
@@ -50,6 +55,8 @@
 # call time out, and the next one be answered on a new connection, before the
 # host has to follow the store again.
 ANSWER_SLACK_S = 1.5
+# The same margin, with the first retry's delay, for a store that serves on.
+RECONNECT_SLACK_S = 1.25
 MIN_WAIT_S = 0.5
 # A host whose state is stale needs an answer before the next host polls too. It
 # also finds out soon whether a store that didn't answer is back.
@@ -89,6 +96,11 @@
     publish_s: float
 
 
+def find_lapsing_outage_s(bounds: Bounds) -> float:
+    """Return the shortest outage in seconds in which entries may lapse."""
+    return LAPSING_OUTAGE_HEARTBEATS * bounds.heartbeat_s
+
+
 def build_schedule(
     rank: ZoneRank,
     bounds: Bounds,
@@ -99,8 +111,7 @@
     `reply_age_s` is the time since the store last answered the host.
     """
     bound_s = min(bounds.drain_s, bounds.configuration_s)
-    # A lost call must have timed out within the window after the last answer.
-    left_s = bounds.stability_s - ANSWER_SLACK_S - reply_age_s
+    left_s = _find_longest_wait_s(bounds) - reply_age_s
     longest_wait_s = max(left_s, STALE_WAIT_S)
     if rank.hosts < MIN_SHARING_HOSTS:
         return PollSchedule(
@@ -120,6 +131,17 @@
     )
 
 
+def _find_longest_wait_s(bounds: Bounds) -> float:
+    # A lost call must have timed out within the window after the last answer.
+    longest_s = bounds.stability_s - ANSWER_SLACK_S
+    # One that is answered anew before entries may lapse tells that engines
+    # whose entries were removed meanwhile have left.
+    conclusive_s = find_lapsing_outage_s(bounds) - RECONNECT_SLACK_S
+    if conclusive_s < MIN_WAIT_S:
+        return longest_s
+    return min(longest_s, conclusive_s)
+
+
 def _find_staleness_fraction(rank: ZoneRank) -> float:
     match rank.rank:
         case 0:
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -1,7 +1,8 @@
 """Test how gateways follow a failing store."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
+import msgspec
 import pytest
 
 from bamboodeck.fakes.platform.documents import (
@@ -14,10 +15,35 @@
 from bamboodeck.fakes.platform.store import StoreMode
 from bamboodeck.gateway import store_polling
 from bamboodeck.gateway.known_state import RELIST_S
+from bamboodeck.gateway.ports import RegistryFailed, RegistryReply
+from bamboodeck.loop.program import Loop
 from bamboodeck.platform import protocol, store
 from tests.gateway.harness import GatewayHarness
 
 
+HEARTBEAT_S = 0.2
+
+
+class RefusedRegistry:
+    """Refuse the calls of one host."""
+
+    def __init__(self, loop: Loop) -> None:
+        """Answer on a loop."""
+        self._loop = loop
+
+    def wait_for_changes(
+        self,
+        after_revision: int,
+        wait_s: float,
+        on_reply: Callable[[RegistryReply], None],
+    ) -> None:
+        """Fail."""
+        self._loop.scheduler.call_after(
+            0.01,
+            lambda: on_reply(RegistryFailed('refused')),
+        )
+
+
 @pytest.fixture
 def harness(monkeypatch: pytest.MonkeyPatch) -> Iterator[GatewayHarness]:
     """Run one gateway with short timeouts of calls to the store."""
@@ -74,8 +100,17 @@
 
     def lose(self, harness: GatewayHarness) -> None:
         """Let an engine's entry expire during an outage."""
+        context = harness.apps[0].context
+        settings = msgspec.structs.replace(
+            context.settings,
+            bounds=msgspec.structs.replace(
+                context.settings.bounds, heartbeat_s=HEARTBEAT_S
+            ),
+        )
+        context.apply_settings(settings)
         harness.store.mode = StoreMode.REFUSES
         harness.until(lambda: 'store_lost' in harness.log())
+        harness.wait(store_polling.find_lapsing_outage_s(settings.bounds))
         harness.store.remove(f'{protocol.ENGINE_PREFIX}shop-1')
         harness.store.mode = StoreMode.SERVES
         harness.until(lambda: 'store_regained' in harness.log())
@@ -87,6 +122,7 @@
         harness.relist('shop-1', SHOP, sequence=2)
         harness.wait(RELIST_S + 0.5)
         assert harness.ask(PAY).status == 200
+        assert 'engine_missing' in harness.log()
         assert 'engine_gone' not in harness.log()
 
     def test_gone(self, harness: GatewayHarness) -> None:
@@ -96,6 +132,57 @@
         assert harness.ask(PAY).status == 503
 
 
+class TestLeftEngine:
+    """Drop an engine that left while this host alone lost its calls."""
+
+    def leave(self, harness: GatewayHarness) -> None:
+        """Remove the entry of an engine that runs on."""
+        harness.store.remove(f'{protocol.ENGINE_PREFIX}shop-1')
+
+    def test_engine_used_after_silent_connection(
+        self,
+        harness: GatewayHarness,
+    ) -> None:
+        """Drop it with the answer on a new connection."""
+        harness.store.silence_connections()
+        self.leave(harness)
+        harness.until(lambda: 'store_regained' in harness.log())
+        assert harness.ask(PAY).status == 503
+        assert not harness.engines['shop-1'].runs
+
+    def test_engine_used_after_one_refusal(
+        self,
+        harness: GatewayHarness,
+    ) -> None:
+        """Drop it though a call was refused meanwhile."""
+        harness.store.mode = StoreMode.REFUSES
+        harness.until(lambda: 'store_lost' in harness.log())
+        self.leave(harness)
+        harness.store.mode = StoreMode.SERVES
+        harness.until(lambda: 'store_regained' in harness.log())
+        assert harness.ask(PAY).status == 503
+
+    def test_engine_used_while_others_are_served(self) -> None:
+        """Drop it though the store turned only this host away for long."""
+        harness = GatewayHarness(hosts=2)
+        harness.add_engine('shop-1', SHOP)
+        harness.until_engines(1)
+        harness.until(lambda: 'peer_seen' in harness.outputs[0].getvalue())
+        refused = harness.apps[0]
+        registry = refused.discovery._registry
+        refused.discovery._registry = RefusedRegistry(harness.loop)
+        harness.until(lambda: 'store_lost' in harness.outputs[0].getvalue())
+        bounds = refused.context.settings.bounds
+        harness.wait(1.2 * store_polling.find_lapsing_outage_s(bounds))
+        self.leave(harness)
+        refused.discovery._registry = registry
+        harness.until(
+            lambda: 'store_regained' in harness.outputs[0].getvalue(),
+        )
+        assert harness.ask(PAY).status == 503
+        harness.close()
+
+
 class TestStart:
     """Let callers wait briefly for the first configuration."""
 
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -8,9 +8,14 @@
 from bamboodeck.gateway.engines import EngineTable
 from bamboodeck.gateway.fleet import PUBLISH_PERIOD_S
 from bamboodeck.gateway.measures import GatewayMetrics
-from bamboodeck.gateway.model import Bounds, GatewayConfiguration
+from bamboodeck.gateway.model import (
+    Bounds,
+    EngineEntry,
+    GatewayConfiguration,
+)
 from bamboodeck.gateway.ports import (
     ConfigurationListed,
+    EngineSeen,
     EngineUnlisted,
     Fact,
     HistoryLost,
@@ -124,27 +129,67 @@
             lost = RegistryFailed('no data received')
             zone.clock.call_after(timeout_s, lambda: on_reply(lost))
             return
-        silences = zone.silences
         if not zone.serves(self._rank):
             failed = RegistryFailed('refused')
             zone.clock.call_after(zone.failure_s, lambda: on_reply(failed))
             return
+        call = WaitingCall(
+            zone,
+            self._rank,
+            on_reply,
+            build,
+            timeout_s - wait_s - ANSWER_S,
+        )
+        zone.clock.call_after(ANSWER_S + wait_s, call.finish)
+        if wait_s:
+            zone.waiting.append(call.finish_early)
 
-        def finish() -> None:
-            # A store that went away forgets the calls that wait.
-            if zone.silences > silences:
-                lost = RegistryFailed('no data received')
-                left_s = timeout_s - wait_s - ANSWER_S
-                zone.clock.call_after(left_s, lambda: on_reply(lost))
-            elif zone.serves(self._rank):
-                on_reply(build())
-            else:
-                zone.clock.call_after(
-                    zone.failure_s,
-                    lambda: on_reply(RegistryFailed('lost')),
-                )
 
-        zone.clock.call_after(ANSWER_S + wait_s, finish)
+class WaitingCall:
+    """Hold a call that the store has received."""
+
+    def __init__(
+        self,
+        zone: 'VirtualZone',
+        rank: int,
+        on_reply: OnReply,
+        build: Callable[[], RegistryReply],
+        left_s: float,
+    ) -> None:
+        """Start to wait; a lost call times out `left_s` after its end."""
+        self._zone = zone
+        self._rank = rank
+        self._on_reply = on_reply
+        self._build = build
+        self._left_s = left_s
+        self._silences = zone.silences
+        self._answered = False
+
+    def finish_early(self) -> None:
+        """Answer at a change, unless the store has forgotten the call."""
+        forgotten = self._zone.silences > self._silences
+        if not forgotten and self._zone.serves(self._rank):
+            self.finish()
+
+    def finish(self) -> None:
+        """Answer once."""
+        if self._answered:
+            return
+        self._answered = True
+        zone = self._zone
+        # A store that went away forgets the calls that wait.
+        if zone.silences > self._silences:
+            self._fail('no data received', self._left_s)
+        elif zone.serves(self._rank):
+            self._on_reply(self._build())
+        else:
+            self._fail('lost', zone.failure_s)
+
+    def _fail(self, reason: str, delay_s: float) -> None:
+        self._zone.clock.call_after(
+            delay_s,
+            lambda: self._on_reply(RegistryFailed(reason)),
+        )
 
 
 class VirtualZone:
@@ -158,12 +203,16 @@
         self._version = 0
         self.serves: Callable[[int], bool] = lambda rank: True
         self.failure_s = ANSWER_S
+        # Whether hosts tell each other when the store last answered them.
+        self.tells_age = False
         # A silent store answers no call, and forgets those that wait.
         self.silent = False
         self.silences = 0
         # The hosts whose open connection to the store is silent for good.
         self._silent_connections: set[int] = set()
         self.calls: list[float] = []
+        # Answer the calls that wait for a change.
+        self.waiting: list[Callable[[], None]] = []
         # Changes that hosts were sent because they asked.
         self.sent_changes = 0
         self._random = Random(seed)
@@ -180,6 +229,30 @@
         self._changes.append(
             EngineUnlisted(f'engine-{self.revision}', 'gone', self.revision),
         )
+        self.answer_waiting()
+
+    def put_removal(self, entry: EngineEntry) -> None:
+        """Remove the entry of an engine."""
+        self.revision += 1
+        self._changes.append(
+            EngineUnlisted(entry.engine_id, 'removed', self.revision),
+        )
+        self.answer_waiting()
+
+    def put_engine(self, entry: EngineEntry) -> None:
+        """List an engine."""
+        self.revision += 1
+        self._changes.append(EngineSeen(entry, self.revision))
+        self.answer_waiting()
+
+    def using(self, entry: EngineEntry) -> int:
+        """Return how many hosts may send an engine requests."""
+        engines = [
+            context.engines.find(entry.engine_id) for context in self.contexts
+        ]
+        return sum(
+            engine is not None and not engine.unlisted for engine in engines
+        )
 
     def put_configuration(self) -> None:
         """Write a new configuration."""
@@ -195,6 +268,7 @@
         listed = ConfigurationListed(configuration, self.revision)
         self.configurations.append((listed, self.clock.now_s))
         self._changes.append(listed)
+        self.answer_waiting()
 
     def restore(self, lost_changes: int) -> None:
         """Restore the store from a copy that lacks the latest changes."""
@@ -213,6 +287,12 @@
         """Return the newest configuration, as a snapshot does."""
         return tuple(listed for listed, _ in self.configurations[-1:])
 
+    def answer_waiting(self) -> None:
+        """Answer the calls that wait for a change."""
+        for finish in self.waiting:
+            self.clock.call_after(ANSWER_S, finish)
+        self.waiting.clear()
+
     def configured(self) -> int:
         """Return how many hosts have the newest configuration."""
         newest = self.configurations[-1][0].configuration
@@ -302,6 +382,7 @@
             engines=EngineTable(),
             suspect_parts=SuspectParts(),
             registry_confirmed_s=clock.now_s,
+            client=SimpleNamespace(close_idle_to=lambda address: None),
             now_s=clock.read_s,
         )
 
@@ -321,14 +402,20 @@
         self.clock.call_after(delay_s, publish)
 
     def _publish(self, rank: int) -> None:
-        message = self.discoveries[rank].build_update()
-        if message is None:
-            return
         others = [
             discovery
             for other, discovery in enumerate(self.discoveries)
             if other != rank
         ]
+        age_ms = self.discoveries[rank].contact.find_answer_age_ms()
+        if age_ms is not None and self.tells_age:
+            self.clock.call_after(
+                MESSAGE_S,
+                lambda: [each.contact.record_served(age_ms) for each in others],
+            )
+        message = self.discoveries[rank].build_update()
+        if message is None:
+            return
 
         def deliver() -> None:
             for discovery in others:
