Find out whether an engine crashed, and block what crashes engines

Cause: a crash counted only if the host that saw the request break off was itself refused by that engine within 2 s, by other traffic. A host without other traffic learned nothing, and those that did had no record of the request. Crashes of one engine id counted once.

Ruled out: notices that don't reach other hosts.

Why the fix works: the host that has the record looks for itself. It connects to the engine 0.1 s after the break, unless it holds an idle connection, and takes a refusal, a successor at the address or under the id, or a rejection by another engine for a crash. Time-outs alone count for nothing, as the network may have failed. Crashes count by incarnation: two engines or three starts of one. Answers clear a request on all hosts, also when the crash is told later, so that sound requests beside crashes of other causes are served. The block is also checked when a waiting request is placed.

PoisonGuard of the entry processes counts as before, as they name no incarnation.

--- a/bamboodeck/admission/poison.py
+++ b/bamboodeck/admission/poison.py
@@ -1,13 +1,17 @@
 """Refuse requests that have crashed engines on several hosts."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from bamboodeck.admission.messages import Refused, RefusalCode
 
 CRASHES_TO_REFUSE = 2
+# On one host that restarts, crashes for other reasons are more likely.
+RESTARTS_TO_REFUSE = 3
 DEFAULT_EXPIRY_S = 600.0
 DEFAULT_MAX_FINGERPRINTS = 4096
+MAX_FINISHED = 20_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +21,8 @@
     fingerprint: str
     host: str
     crashed_s: float
+    # Tells restarts of the host's engine apart, where they are known.
+    incarnation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,25 +46,28 @@
 
 @dataclass(slots=True)
 class _Suspicion:
-    crashes: dict[str, float] = field(default_factory=dict)
+    # When each host, and each known incarnation of its engine, crashed.
+    crashes: dict[tuple[str, str], float] = field(default_factory=dict)
     cleared_s: float = 0.0
     crash_reported_s: float = 0.0
 
     def newest_s(self) -> float:
         return max(max(self.crashes.values(), default=0.0), self.cleared_s)
 
-    def add_crash(self, host: str, crashed_s: float, now_s: float) -> None:
-        if crashed_s <= self.cleared_s:
+    def add_crash(self, report: CrashReport, now_s: float) -> None:
+        if report.crashed_s <= self.cleared_s:
             return
-        if host not in self.crashes:
+        key = (report.host, report.incarnation)
+        if key not in self.crashes:
             self.crash_reported_s = now_s
-        self.crashes[host] = max(self.crashes.get(host, crashed_s), crashed_s)
+        known_s = self.crashes.get(key, report.crashed_s)
+        self.crashes[key] = max(known_s, report.crashed_s)
 
     def clear(self, cleared_s: float) -> None:
         self.cleared_s = max(self.cleared_s, cleared_s)
         self.crashes = {
-            host: crashed_s
-            for host, crashed_s in self.crashes.items()
+            key: crashed_s
+            for key, crashed_s in self.crashes.items()
             if crashed_s > self.cleared_s
         }
 
@@ -81,6 +90,8 @@
         self._max_fingerprints = max_fingerprints
         self._in_flight: dict[str, dict[str, int]] = {}
         self._suspicions: dict[str, _Suspicion] = {}
+        # When requests last finished, as a crash before may be reported later.
+        self._finished: OrderedDict[str, float] = OrderedDict()
 
     def start(self, fingerprint: str, host: str) -> None:
         """Record the start of an attempt on a host."""
@@ -106,6 +117,10 @@
     ) -> tuple[ClearReport, ...]:
         """Record a complete attempt and clear its request of suspicion."""
         self.cancel(fingerprint, host)
+        self._finished[fingerprint] = now_s
+        self._finished.move_to_end(fingerprint)
+        if len(self._finished) > MAX_FINISHED:
+            self._finished.popitem(last=False)
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None or not suspicion.crashes:
             return ()
@@ -131,8 +146,10 @@
             match report:
                 case ClearReport(cleared_s=cleared_s):
                     suspicion.clear(cleared_s)
-                case CrashReport(host=host, crashed_s=crashed_s):
-                    suspicion.add_crash(host, crashed_s, now_s)
+                case CrashReport(fingerprint=fingerprint, crashed_s=crashed_s):
+                    finished_s = self._finished.get(fingerprint, 0.0)
+                    suspicion.clear(finished_s if finished_s > crashed_s else 0)
+                    suspicion.add_crash(report, now_s)
         self._evict(now_s)
 
     def reports(
@@ -149,20 +166,23 @@
             if suspicion.cleared_s:
                 found.append(ClearReport(fingerprint, suspicion.cleared_s))
             found.extend(
-                CrashReport(fingerprint, host, crashed_s)
-                for host, crashed_s in suspicion.crashes.items()
+                CrashReport(fingerprint, host, crashed_s, incarnation)
+                for (host, incarnation), crashed_s in suspicion.crashes.items()
             )
         return tuple(found)
 
     def check(self, fingerprint: str, now_s: float) -> Refused | None:
         """Refuse a request that was in flight at crashes on two hosts."""
-        recent_crashes_s = self._recent_crashes(fingerprint, now_s)
-        if len(recent_crashes_s) < CRASHES_TO_REFUSE:
+        recent_s = self._recent_crashes(fingerprint, now_s)
+        hosts = {host for host, _ in recent_s}
+        if len(hosts) < CRASHES_TO_REFUSE and (
+            len(recent_s) < RESTARTS_TO_REFUSE
+        ):
             return None
-        left_s = max(recent_crashes_s) + self._expiry_s - now_s
+        left_s = max(recent_s.values()) + self._expiry_s - now_s
         return Refused(
             RefusalCode.POISON,
-            f'the request crashed engines on {len(recent_crashes_s)} hosts',
+            f'the request crashed engines on {len(hosts)} hosts',
             left_s,
         )
 
@@ -180,7 +200,7 @@
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None:
             return frozenset()
-        return frozenset(suspicion.crashes)
+        return frozenset(host for host, _ in suspicion.crashes)
 
     def is_running(self, fingerprint: str, host: str) -> bool:
         """Return whether this node runs the request on a host."""
@@ -197,15 +217,19 @@
             if self.is_suspect(fingerprint, now_s)
         )
 
-    def _recent_crashes(self, fingerprint: str, now_s: float) -> list[float]:
+    def _recent_crashes(
+        self,
+        fingerprint: str,
+        now_s: float,
+    ) -> dict[tuple[str, str], float]:
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None:
-            return []
-        return [
-            crashed_s
-            for crashed_s in suspicion.crashes.values()
+            return {}
+        return {
+            key: crashed_s
+            for key, crashed_s in suspicion.crashes.items()
             if now_s - crashed_s < self._expiry_s
-        ]
+        }
 
     def _evict(self, now_s: float) -> None:
         stale = [
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -351,6 +351,8 @@
 
     engine: str
     fingerprint: str
+    # What showed the crash: `refused`, `misdirected` or `replaced`.
+    evidence: str
 
 
 class PartsSuspected(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/fleet.py
+++ b/bamboodeck/gateway/fleet.py
@@ -11,8 +11,12 @@
 
 import msgspec
 
-from bamboodeck.admission.poison import CrashReport
 from bamboodeck.gateway.context import GatewayContext
+from bamboodeck.gateway.crash_sharing import (
+    CrashNews,
+    list_news,
+    merge_news,
+)
 from bamboodeck.gateway.discovery import Discovery
 from bamboodeck.gateway.engines import PeerLoad
 from bamboodeck.gateway.leaving_engines import LeavingEngines
@@ -22,7 +26,6 @@
 from bamboodeck.gateway.part_listing import PartListing
 from bamboodeck.gateway.peer_link import PeerLink
 from bamboodeck.gateway.peer_messages import (
-    CrashNotice,
     EngineLoad,
     EvidenceReport,
     HostUpdate,
@@ -54,7 +57,6 @@
 TRIAL_UPDATE_EVERY = 2
 # Hosts of each other zone that receive an update and forward it within theirs.
 RECIPIENTS_PER_ZONE = 2
-MAX_CRASH_REPORTS = 50
 
 # Messages for all hosts, which one or two hosts of each zone forward.
 FleetMessage = SessionUpdate | SuspectUpdate | LimitUpdate | LeavingUpdate
@@ -126,9 +128,9 @@
             return
         own_zone_peers = members.own_zone_peers()
         other_zone_peers = members.other_zone_peers()
-        crashes = self._list_crashes()
+        news = list_news(self._context)
         if len(other_zone_peers) > MAX_DIRECT_PEERS:
-            self._publish_zone_update(own_zone_peers, other_zone_peers, crashes)
+            self._publish_zone_update(own_zone_peers, other_zone_peers, news)
         elif (
             self._rollouts.running
             or self._publish_count % OTHER_ZONE_LOADS_EVERY == 0
@@ -139,8 +141,9 @@
             HostUpdate(
                 self._list_loads(),
                 evidence,
-                crashes,
+                news.crashes,
                 self._discovery.contact.find_answer_age_ms(),
+                news.cleared,
             ),
             (peer.address for peer in own_zone_peers),
         )
@@ -161,7 +164,7 @@
         self,
         own_zone_peers: list[Peer],
         other_zone_peers: list[Peer],
-        crashes: tuple[CrashNotice, ...],
+        news: CrashNews,
     ) -> None:
         every = (
             TRIAL_UPDATE_EVERY if self._rollouts.running else ZONE_UPDATE_EVERY
@@ -172,9 +175,14 @@
         evidence = self._rollouts.build_evidence_report(
             [peer.host for peer in own_zone_peers],
         )
-        if not (evidence.trial or crashes):
+        if not (evidence.trial or news.crashes or news.cleared):
             return
-        message = ZoneUpdate(self._context.settings.zone, evidence, crashes)
+        message = ZoneUpdate(
+            self._context.settings.zone,
+            evidence,
+            news.crashes,
+            cleared=news.cleared,
+        )
         self.link.send(message, self._choose_recipients(other_zone_peers))
 
     def _choose_recipients(self, other_zone_peers: list[Peer]) -> list[Address]:
@@ -249,17 +257,6 @@
             if engine.requests
         )
 
-    def _list_crashes(self) -> tuple[CrashNotice, ...]:
-        reports = self._context.poison.reports(
-            self._context.environment.wall_s(),
-            MAX_CRASH_REPORTS,
-        )
-        return tuple(
-            CrashNotice(report.fingerprint, report.host, report.crashed_s)
-            for report in reports
-            if isinstance(report, CrashReport)
-        )
-
     def _on_host_update(self, host: str, message: HostUpdate) -> None:
         if host not in self.members.peers:
             return
@@ -274,13 +271,15 @@
                 for load in message.loads
             },
         )
-        self._merge(host, message.evidence, message.crashes)
+        news = CrashNews(message.crashes, message.cleared)
+        self._merge(host, message.evidence, news)
 
     def _on_zone_update(self, host: str, message: ZoneUpdate) -> None:
         self._forward_to_zone(host, message)
         if message.zone == self._context.settings.zone:
             return
-        self._merge(f'zone {message.zone}', message.evidence, message.crashes)
+        news = CrashNews(message.crashes, message.cleared)
+        self._merge(f'zone {message.zone}', message.evidence, news)
 
     def _forward_to_zone(
         self,
@@ -299,22 +298,11 @@
         self,
         host: str,
         evidence: EvidenceReport,
-        crashes: tuple[CrashNotice, ...],
+        news: CrashNews,
     ) -> None:
         if self._rollouts is not None and self._rollouts.running:
             self._rollouts.merge(host, evidence)
-        if crashes:
-            self._context.poison.merge(
-                [
-                    CrashReport(
-                        each.fingerprint,
-                        each.engine_id,
-                        each.crashed_unix_s,
-                    )
-                    for each in crashes
-                ],
-                self._context.environment.wall_s(),
-            )
+        merge_news(self._context, news)
 
     def _on_store_update(self, host: str, message: StoreUpdate) -> None:
         peer = self.members.peers.get(host)
--- a/bamboodeck/gateway/outcomes.py
+++ b/bamboodeck/gateway/outcomes.py
@@ -13,7 +13,7 @@
     EngineBack,
     EnginePaused,
 )
-from bamboodeck.gateway.exchange import Exchange
+from bamboodeck.gateway.exchange import STREAMING_EVENTS, Exchange
 from bamboodeck.gateway.fingerprints import CrashTracker
 from bamboodeck.gateway.leaving_engines import LeavingEngines
 from bamboodeck.gateway.limit_tracker import LimitTracker
@@ -113,9 +113,13 @@
         else:
             engine.record_failure()
         if failure.kind is FailureKind.REFUSED:
-            self.crashes.record_crash(engine)
-        elif failure.kind is FailureKind.BROKEN and failure.maybe_started:
-            self.crashes.record_broken(exchange.fingerprint, engine)
+            self.crashes.record_refused(engine)
+            return
+        if not failure.maybe_started or failure.kind is FailureKind.MALFORMED:
+            # It reached no engine, or one that runs on.
+            return
+        self._record_broken(exchange, attempt)
+        if failure.kind is FailureKind.BROKEN:
             self.parts.record_broken(exchange, attempt)
 
     def on_rejected(self, exchange: Exchange, attempt: Attempt) -> None:
@@ -126,6 +130,7 @@
             engine.record_failure()
             return
         # Another engine has the address; the registry will follow.
+        self.crashes.record_misdirected(engine)
         self._pause(engine, 'another engine answers at this address')
 
     def on_overdue(self, exchange: Exchange, attempt: Attempt) -> None:
@@ -136,6 +141,8 @@
         took_s = self._context.now_s() - attempt.began_s
         if took_s > exchange.route.target_latency_s:
             attempt.engine.record_failure()
+        if attempt.engine.last_progress_s < attempt.began_s:
+            self._record_broken(exchange, attempt)
 
     def record_latency(
         self,
@@ -160,6 +167,11 @@
             ),
         )
 
+    def _record_broken(self, exchange: Exchange, attempt: Attempt) -> None:
+        # A request that crashes engines does so as they begin to run it.
+        if attempt.events < STREAMING_EVENTS:
+            self.crashes.record_broken(exchange.fingerprint, attempt.engine)
+
     def _decline(self, engine: Engine, duration_s: float) -> None:
         declined_s = engine.decline(duration_s, self._context.now_s())
         self._context.metrics.count('engine_declines')
--- a/bamboodeck/gateway/peer_messages.py
+++ b/bamboodeck/gateway/peer_messages.py
@@ -55,6 +55,15 @@
     fingerprint: str
     engine_id: str
     crashed_unix_s: float
+    # The id and the start of the engine.
+    incarnation: str = ''
+
+
+class ClearNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Report that a suspected request was answered."""
+
+    fingerprint: str
+    cleared_unix_s: float
 
 
 class SessionNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -75,6 +84,7 @@
     crashes: tuple[CrashNotice, ...] = ()
     # Time since the store answered the host; None if it never did.
     store_age_ms: int | None = None
+    cleared: tuple[ClearNotice, ...] = ()
 
 
 class ZoneUpdate(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
@@ -85,6 +95,7 @@
     crashes: tuple[CrashNotice, ...] = ()
     # Whether a host of the receiving zone has forwarded it, to do so only once.
     forwarded: bool = False
+    cleared: tuple[ClearNotice, ...] = ()
 
 
 class SessionUpdate(
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -131,6 +131,12 @@
 
     def place(self, exchange: Exchange) -> None:
         """Send the exchange to an engine, queue it, or refuse it."""
+        if self.outcomes.crashes.is_poison(exchange.fingerprint):
+            exchange.fail_unplaced(
+                'the request has crashed engines',
+                exchange.retry_after_s(),
+            )
+            return
         if self.outcomes.parts.find_blamed(exchange) is not None:
             exchange.fail_unplaced(
                 'a part of the prompt has crashed engines',
@@ -225,13 +231,6 @@
         if self._is_too_late(exchange):
             exchange.refuse(_UNAVAILABLE, STOPPING_REASON, OTHER_HOST_RETRY_S)
             return
-        if self.outcomes.crashes.is_poison(exchange.fingerprint):
-            exchange.refuse(
-                _UNAVAILABLE,
-                'the request has crashed engines',
-                exchange.retry_after_s(),
-            )
-            return
         if exchange.request.generation is not None:
             exchange.model = exchange.request.generation.model or next(
                 iter(exchange.route.models),
@@ -378,6 +377,7 @@
             if attempt is None or attempt.ended or attempt.paused:
                 continue
             self._check_stall(exchange, attempt)
+        self.outcomes.crashes.check_replaced()
         self._reject_overdue()
         self._place_queued()
         self._ask_for_loans()
--- a/bamboodeck/http/client.py
+++ b/bamboodeck/http/client.py
@@ -7,7 +7,9 @@
 from bamboodeck.http.messages import (
     Address,
     HttpCall,
+    HttpFailed,
     HttpOutcome,
+    ReplyHead,
     StreamSink,
 )
 from bamboodeck.http.reply_collector import ReplyCollector
@@ -16,6 +18,27 @@
 MAX_IDLE_PER_ADDRESS = 64
 
 
+class ConnectSink:
+    """Report whether a connection was established, without a call."""
+
+    def __init__(
+        self,
+        on_connected: Callable[[HttpFailed | None], None],
+    ) -> None:
+        """Pass the failure, or none, to the callback."""
+        self.on_failed: Callable[[HttpFailed], None] = on_connected
+
+    def on_head(self, head: ReplyHead) -> None:
+        """Ignore bytes that no call asked for."""
+
+    def on_data(self, chunk: bytes) -> None:
+        """Ignore bytes that no call asked for."""
+
+    def on_end(self) -> None:
+        """Report the connection as established."""
+        self.on_failed(None)
+
+
 class HttpClient:
     """Send calls over pooled connections, without retries."""
 
@@ -61,6 +84,17 @@
         connection.start(call, sink)
         return connection
 
+    def connect(
+        self,
+        address: Address,
+        timeout_s: float,
+        on_connected: Callable[[HttpFailed | None], None],
+    ) -> None:
+        """Add a connection to the pool; the callback gets any failure."""
+        connection = ClientConnection(self, address)
+        self.open_counts[address] += 1
+        connection.open(timeout_s, ConnectSink(on_connected))
+
     def has_idle(self, address: Address) -> bool:
         """Return whether an idle connection to an address is pooled."""
         return bool(self._idle.get(address))
--- a/bamboodeck/http/client_connection.py
+++ b/bamboodeck/http/client_connection.py
@@ -65,6 +65,8 @@
         self._sock.setblocking(False)
         _configure_socket(self._sock)
         self._connecting = True
+        # Whether it is opened for the pool, without a call.
+        self._opening = False
         status = self._sock.connect_ex((address.host, address.port))
         self._broken = status not in {0, errno.EINPROGRESS}
         self._watch: Watch = self._loop.poller.watch(
@@ -116,6 +118,15 @@
             self._send()
         self._update_interest()
 
+    def open(self, timeout_s: float, sink: StreamSink) -> None:
+        """Connect without a call; the sink is told the end or the failure."""
+        self._sink = sink
+        self._opening = True
+        self._loop.scheduler.call_after(timeout_s, self._check_connect_timeout)
+        if self._broken:
+            self._loop.scheduler.call_after(0, self._fail_to_connect)
+        self._update_interest()
+
     def pause(self) -> None:
         """Stop reading, which applies back-pressure to the peer."""
         self._paused = True
@@ -139,6 +150,10 @@
                 self._fail_to_connect()
                 return
             self._connecting = False
+        if self._opening:
+            self._opening = False
+            self._finish(reusable=True)
+            return
         self._send()
         self._update_interest()
 
--- a/tests/gateway/raw_bench.py
+++ b/tests/gateway/raw_bench.py
@@ -17,15 +17,28 @@
     def __init__(
         self,
         monotonic_s: Callable[[], float] = time.monotonic,
+        hosts: int = 1,
     ) -> None:
         """Start without engines."""
-        super().__init__(monotonic_s=monotonic_s)
+        super().__init__(hosts, monotonic_s)
         self.raw: list[RawEngine] = []
 
     def add_raw(self, script: Script, service: str = SHOP) -> RawEngine:
         """List a scripted engine and wait until it is known."""
         engine = RawEngine(self.loop, script)
         self.raw.append(engine)
+        self.list_raw(f'raw-{len(self.raw)}', engine, service)
+        self.until_engines(len(self.raw) + len(self.engines))
+        return engine
+
+    def list_raw(
+        self,
+        engine_id: str,
+        engine: RawEngine,
+        service: str = SHOP,
+        born: int = 1,
+    ) -> None:
+        """List a scripted engine."""
         entry = {
             'service': service,
             'address': f'127.0.0.1:{engine.port}',
@@ -35,12 +48,10 @@
             'state': 'ready',
             'cold_remaining_ms': 0,
             'sequence': 1,
-            'born': 1,
+            'born': born,
         }
-        key = f'{protocol.ENGINE_PREFIX}raw-{len(self.raw)}'
+        key = f'{protocol.ENGINE_PREFIX}{engine_id}'
         self.store.put(key, msgspec.json.encode(entry))
-        self.until_engines(len(self.raw) + len(self.engines))
-        return engine
 
     def failure_rate(self, engine_id: str = 'raw-1') -> float:
         """Return the failure rate that the gateway knows of an engine."""
--- a/tests/gateway/raw_engine.py
+++ b/tests/gateway/raw_engine.py
@@ -72,13 +72,13 @@
 class RawEngine:
     """Listen for requests and run a script for each."""
 
-    def __init__(self, loop: Loop, script: Script) -> None:
-        """Listen on a free port."""
+    def __init__(self, loop: Loop, script: Script, port: int = 0) -> None:
+        """Listen on a port, by default a free one."""
         self.calls: list[Call] = []
         self.script = script
         self._loop = loop
         self._parsers: dict[Connection, RequestParser] = {}
-        self._sock = socket.create_server(('127.0.0.1', 0))
+        self._sock = socket.create_server(('127.0.0.1', port))
         self._sock.setblocking(False)
         self.port = self._sock.getsockname()[1]
         self._watch = loop.poller.watch(
