Break off a begun answer instead of continuing it with another run

Cause: the decision to retry asked whether the route may be repeated, not whether the caller already has a part of the answer. The same on related paths: an answer without events on a stream's route lost all but its first MiB, and could be joined with events; a pause of an engine ended an answer that no other engine could continue; a caller of HTTP/1.0 took a broken-off body for a whole one; large answers didn't count for their engine.

Why the fix works: a delivery says whether the answer has begun, and then every failure, whatever its kind, ends the request as broken off.

--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -27,6 +27,10 @@
 class Delivery(Protocol):
     """Turn the answers of engines into the answer to the caller."""
 
+    @property
+    def begun(self) -> bool:
+        """Tell whether the caller has what no other attempt can continue."""
+
     def start_attempt(self) -> None:
         """Reset the state for a new attempt."""
 
@@ -59,7 +63,8 @@
         """Start with an empty buffer."""
         self._exchange = exchange
         self._body = bytearray()
-        self._forwarding = False
+        # Whether the answer is forwarded as it arrives.
+        self.begun = False
         self._complete = False
 
     def start_attempt(self) -> None:
@@ -74,7 +79,7 @@
     def on_data(self, attempt: Attempt, chunk: bytes) -> None:
         """Buffer the bytes; forward a large answer as it arrives."""
         attempt.record_progress(self._exchange.context.now_s())
-        if self._forwarding:
+        if self.begun:
             self._forward(attempt, chunk)
             return
         self._body += chunk
@@ -83,23 +88,24 @@
         if attempt.head.not_run:
             attempt.fail('rejection exceeds the size limit', _MALFORMED)
             return
-        self._forwarding = True
+        self.begun = True
         self._exchange.record_first_byte()
         self._exchange.responder.start(
             attempt.head.status,
             attempt.head.headers,
         )
         self._forward(attempt, bytes(self._body))
+        self._body = bytearray()
 
     def on_end(self, attempt: Attempt, head: EngineHead) -> None:
         """Forward the complete answer, or have the request retried."""
         exchange = self._exchange
-        if self._forwarding:
-            exchange.finish(head.status, 'served')
+        exchange.record_answered(attempt)
+        if self.begun:
+            exchange.finish(head.status, _name_outcome(head))
             exchange.responder.end()
             return
         self._complete = True
-        exchange.record_answered(attempt)
         if head.status >= _SERVER_ERROR and exchange.route.retryable:
             exchange.handle_failure(
                 attempt,
@@ -123,8 +129,7 @@
         exchange = self._exchange
         exchange.record_first_byte()
         exchange.sent_bytes = len(self._body)
-        outcome = 'served' if head.status < _FIRST_ERROR else 'engine-error'
-        exchange.finish(head.status, outcome)
+        exchange.finish(head.status, _name_outcome(head))
         exchange.responder.respond(
             head.status,
             head.headers,
@@ -148,6 +153,11 @@
         # Whether the engine of this attempt has sent an event.
         self._has_events = False
 
+    @property
+    def begun(self) -> bool:
+        """Tell whether the caller has a part of an answer without events."""
+        return self._failure.begun
+
     def start_attempt(self) -> None:
         """Reset the state, to resume after the last forwarded event."""
         self._splitter = EventSplitter()
@@ -166,7 +176,7 @@
     def on_data(self, attempt: Attempt, chunk: bytes) -> None:
         """Forward the events that are complete."""
         if not self._streaming:
-            if not self._exchange.responder.started:
+            if self.begun or not self._exchange.responder.started:
                 self._failure.on_data(attempt, chunk)
             return
         try:
@@ -219,7 +229,7 @@
 
     def _end_failure(self, attempt: Attempt, head: EngineHead) -> None:
         exchange = self._exchange
-        if not exchange.responder.started:
+        if self.begun or not exchange.responder.started:
             self._failure.on_end(attempt, head)
             return
         # The caller has a part of the stream, so no other answer fits.
@@ -259,6 +269,10 @@
         self._exchange.forward(b''.join(event.content for event in events))
 
 
+def _name_outcome(head: EngineHead) -> str:
+    return 'served' if head.status < _FIRST_ERROR else 'engine-error'
+
+
 def _is_repeated(event: StreamEvent, last_event_id: str | None) -> bool:
     if event.event_id is None or last_event_id is None:
         return False
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -399,6 +399,7 @@
             FailedAttempt(
                 cause=cause,
                 retryable=self.route.retryable,
+                answer_begun=self.delivery.begun,
                 may_have_run_before=may_have_run_before,
                 attempts=self.attempts,
                 max_attempts=self.route.max_attempts,
--- a/bamboodeck/gateway/retrying.py
+++ b/bamboodeck/gateway/retrying.py
@@ -34,6 +34,8 @@
 
     cause: FailureCause
     retryable: bool
+    # Whether the caller has a part of the answer, which no other run continues.
+    answer_begun: bool
     # Whether an earlier attempt of this request may have run.
     may_have_run_before: bool
     attempts: int
@@ -60,6 +62,8 @@
 def decide_retry(failed: FailedAttempt) -> RetryDecision:
     """Decide whether a failed attempt is followed by another."""
     not_run = _has_not_run(failed)
+    if failed.answer_begun:
+        return GiveUp(not_run=False, reason='answer-begun')
     if failed.left_s < MIN_ATTEMPT_S:
         return GiveUp(not_run, 'no-time-left')
     if failed.cause is FailureCause.NOT_SENT:
--- a/bamboodeck/gateway/traffic.py
+++ b/bamboodeck/gateway/traffic.py
@@ -393,7 +393,9 @@
         self._placing_paused = False
 
     def _check_stall(self, exchange: Exchange, attempt: Attempt) -> None:
-        if not exchange.route.retryable or exchange.attempts_left < 1:
+        if not exchange.route.retryable or exchange.delivery.begun:
+            return
+        if exchange.attempts_left < 1:
             return
         now_s = self.context.now_s()
         if not self.context.budget.allows(exchange.service, now_s):
--- a/bamboodeck/http/connection.py
+++ b/bamboodeck/http/connection.py
@@ -3,9 +3,10 @@
 Data is passed by callbacks, which avoids a circuits event for each write.
 """
 
+import struct
 from collections import deque
 from collections.abc import Callable
-from socket import socket
+from socket import SO_LINGER, SOL_SOCKET, socket
 
 from bamboodeck.loop.poller import CallbackPoller, Watch
 
@@ -16,6 +17,9 @@
 LOW_WATER_BYTES = 65_536
 MAX_PENDING_BYTES = 8_388_608
 
+# A close with a linger time of zero resets the connection.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 
 class Connection:
     """Own a connected socket and its send buffer."""
@@ -83,6 +87,12 @@
         self.sock.close()
         self._on_closed(self)
 
+    def reset(self) -> None:
+        """Reset the connection, so that the peer sees it as broken off."""
+        if not self.closed:
+            self.sock.setsockopt(SOL_SOCKET, SO_LINGER, _NO_LINGER)
+        self.abort()
+
     def receive_pending(self) -> None:
         """Receive what the kernel holds now, if anything."""
         if not self.closed and self._reading:
--- a/bamboodeck/http/relay_server.py
+++ b/bamboodeck/http/relay_server.py
@@ -54,6 +54,7 @@
         self.done = False
         self._client = client
         self._chunked = False
+        self._ends_by_close = False
         self._omit_body = request.method == 'HEAD'
         self._supports_chunked = request.version == '1.1'
 
@@ -92,6 +93,7 @@
             return
         self.started = True
         self._chunked = self._supports_chunked
+        self._ends_by_close = not self._chunked
         if self._chunked:
             headers = (*headers, Header('Transfer-Encoding', 'chunked'))
         else:
@@ -120,7 +122,11 @@
             return
         self.done = True
         self.on_aborted = None
-        self._client.connection.abort()
+        if self._ends_by_close:
+            # A plain close would look like the end of the body.
+            self._client.connection.reset()
+        else:
+            self._client.connection.abort()
 
     def on_drained(self, callback: Callable[[], None] | None) -> None:
         """Set the callback to run each time the send buffer has drained."""
--- a/tests/gateway/test_retrying.py
+++ b/tests/gateway/test_retrying.py
@@ -19,6 +19,7 @@
     described = {
         'cause': FailureCause.BROKEN,
         'retryable': True,
+        'answer_begun': False,
         'may_have_run_before': False,
         'attempts': 1,
         'max_attempts': 3,
@@ -44,6 +45,7 @@
             ({'attempts': 3}, 'no-attempt-left'),
             ({'budget_allows': False}, 'repeat-budget-spent'),
             ({'retryable': False}, 'not-repeatable'),
+            ({'answer_begun': True}, 'answer-begun'),
         ],
     )
     def test_bounds(self, fields: dict, reason: str) -> None:
@@ -51,6 +53,14 @@
         decision = decide_retry(build_failed(**fields))
         assert decision == GiveUp(not_run=False, reason=reason)
 
+    @pytest.mark.parametrize('cause', FailureCause)
+    def test_begun(self, cause: FailureCause) -> None:
+        """Never join two runs, nor say that one has not run."""
+        failed = build_failed(cause=cause, answer_begun=True)
+        assert decide_retry(failed) == GiveUp(
+            not_run=False, reason='answer-begun'
+        )
+
     def test_not_sent(self) -> None:
         """Retry unreachable engines a limited number of times."""
         unsafe = {
