Bound what all unfinished answers of a host hold together

Why the fix works: unfinished answers count what they hold. Beyond an eighth of the host's memory each may hold 32 KiB; a proved answer is forwarded from then on as a large one is, and still ends whole, and a stream with a larger event fails. Small answers are held as ever, so that broken ones are retried.

--- a/bamboodeck/gateway/context.py
+++ b/bamboodeck/gateway/context.py
@@ -6,6 +6,7 @@
 from bamboodeck.environment import Environment
 from bamboodeck.gateway.budget import RetryBudget
 from bamboodeck.gateway.engines import EngineTable
+from bamboodeck.gateway.held_bytes import HeldBytes
 from bamboodeck.gateway.measures import GatewayMetrics
 from bamboodeck.gateway.model import GatewayConfiguration, HostSettings
 from bamboodeck.gateway.placement import HostLocation, Placer
@@ -37,6 +38,7 @@
     sessions: SessionVersions
     poison: PoisonGuard
     suspect_parts: SuspectParts
+    held: HeldBytes
     configuration: GatewayConfiguration | None = None
     routes: RouteTable | None = None
     # When the store last confirmed the known state; initially the start time.
@@ -95,5 +97,6 @@
         sessions=SessionVersions(bounds.session_s),
         poison=PoisonGuard(),
         suspect_parts=SuspectParts(),
+        held=HeldBytes(settings.memory_mb),
         registry_confirmed_s=environment.monotonic_s(),
     )
--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -3,9 +3,11 @@
 from typing import TYPE_CHECKING, Protocol
 
 from bamboodeck.gateway.attempt import Attempt
+from bamboodeck.gateway.held_bytes import HeldAnswer
 from bamboodeck.gateway.model import EngineHead, RouteKind
 from bamboodeck.gateway.retrying import FailureCause
 from bamboodeck.gateway.streams import (
+    MAX_EVENT_BYTES,
     EventSplitter,
     EventTooLargeError,
     StreamEvent,
@@ -46,6 +48,9 @@
     def forward_failure(self, attempt: Attempt) -> bool:
         """Forward the engine's error response, if it is complete."""
 
+    def close(self) -> None:
+        """Release what is held, as the exchange ends."""
+
 
 def build_delivery(exchange: 'Exchange') -> Delivery:
     """Build the delivery for the kind of a route."""
@@ -63,15 +68,21 @@
         """Start with an empty buffer."""
         self._exchange = exchange
         self._body = bytearray()
+        self._held = HeldAnswer(exchange.context.held, MAX_HELD_BYTES)
         # Whether the answer is forwarded as it arrives.
         self.begun = False
         self._complete = False
 
     def start_attempt(self) -> None:
         """Reset the state for a new attempt."""
-        self._body = bytearray()
+        self.close()
         self._complete = False
 
+    def close(self) -> None:
+        """Release what is held, as the exchange ends."""
+        self._body = bytearray()
+        self._held.resize(0)
+
     def on_head(self, attempt: Attempt, head: EngineHead) -> None:
         """Record when the answer started."""
         attempt.record_first_token(self._exchange.context.now_s())
@@ -83,7 +94,7 @@
             self._forward(attempt, chunk)
             return
         self._body += chunk
-        if len(self._body) <= MAX_HELD_BYTES:
+        if self._held.resize(len(self._body)):
             return
         if attempt.head.not_run:
             attempt.fail('rejection exceeds the size limit', _MALFORMED)
@@ -94,8 +105,9 @@
             attempt.head.status,
             attempt.head.headers,
         )
-        self._forward(attempt, bytes(self._body))
-        self._body = bytearray()
+        held = bytes(self._body)
+        self.close()
+        self._forward(attempt, held)
 
     def on_end(self, attempt: Attempt, head: EngineHead) -> None:
         """Forward the complete answer, or have the request retried."""
@@ -128,13 +140,10 @@
     def _respond(self, head: EngineHead) -> None:
         exchange = self._exchange
         exchange.record_first_byte()
-        exchange.sent_bytes = len(self._body)
+        body = bytes(self._body)
+        exchange.sent_bytes = len(body)
         exchange.finish(head.status, _name_outcome(head))
-        exchange.responder.respond(
-            head.status,
-            head.headers,
-            bytes(self._body),
-        )
+        exchange.responder.respond(head.status, head.headers, body)
 
     def _forward(self, attempt: Attempt, chunk: bytes) -> None:
         self._exchange.forward(chunk)
@@ -148,6 +157,7 @@
         """Start before the first event."""
         self._exchange = exchange
         self._splitter = EventSplitter()
+        self._held = HeldAnswer(exchange.context.held, MAX_EVENT_BYTES)
         self._failure = BufferedDelivery(exchange)
         self._streaming = False
         # Whether the engine of this attempt has sent an event.
@@ -163,7 +173,12 @@
         self._splitter = EventSplitter()
         self._streaming = False
         self._has_events = False
-        self._failure.start_attempt()
+        self.close()
+
+    def close(self) -> None:
+        """Release what is held, as the exchange ends."""
+        self._held.resize(0)
+        self._failure.close()
 
     def on_head(self, attempt: Attempt, head: EngineHead) -> None:
         """Check the head; the answer may be escalated to a larger model."""
@@ -179,11 +194,7 @@
             if self.begun or not self._exchange.responder.started:
                 self._failure.on_data(attempt, chunk)
             return
-        try:
-            events = self._splitter.feed(chunk)
-        except EventTooLargeError:
-            attempt.fail('event exceeds the size limit', _MALFORMED)
-            return
+        events = self._split(attempt, chunk)
         self._has_events = self._has_events or any(
             not event.is_comment for event in events
         )
@@ -220,6 +231,17 @@
             return False
         return self._failure.forward_failure(attempt)
 
+    def _split(self, attempt: Attempt, chunk: bytes) -> list[StreamEvent]:
+        try:
+            events = self._splitter.feed(chunk)
+        except EventTooLargeError:
+            attempt.fail('event exceeds the size limit', _MALFORMED)
+            return []
+        if self._held.resize(len(self._splitter.rest)):
+            return events
+        attempt.fail('unfinished answers hold too much memory', _MALFORMED)
+        return []
+
     def _find_break(self, head: EngineHead) -> HttpFailed | None:
         if self._splitter.rest:
             return HttpFailed('stream ended within an event', True)
--- a/bamboodeck/gateway/exchange.py
+++ b/bamboodeck/gateway/exchange.py
@@ -263,6 +263,7 @@
         self._timer.cancel()
         if self.attempt is not None:
             self.attempt.cancel()
+        self.delivery.close()
         now_s = self.context.now_s()
         began_s = self.request.received_s
         first_s = (self._first_s or now_s) - began_s
