--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -284,9 +284,11 @@
                 if revision > self.revision:
                     self._apply_changes(facts, revision)
                 self._schedule_poll(self._find_pause_s() if facts else 0)
-            case HistoryLost(era=era):
+            case HistoryLost(era=era, too_large=too_large):
                 self._context.metrics.count('history_lost')
-                self._context.log.warn(StoreHistoryLost(self.revision, era))
+                self._context.log.warn(
+                    StoreHistoryLost(self.revision, era, too_large),
+                )
                 self._read_snapshot()
             case RegistryFailed(reason=reason):
                 self._on_store_lost(reason)
--- a/bamboodeck/gateway/events.py
+++ b/bamboodeck/gateway/events.py
@@ -76,8 +76,10 @@
     """Log that the store doesn't have the changes since a revision."""
 
     revision: int
-    # Of the answer.
+    # Of the answer, if there is one.
     era: int
+    # Whether the changes are too many for an answer.
+    too_large: bool
 
 
 class StoreRestored(msgspec.Struct, frozen=True):
--- a/bamboodeck/gateway/ports.py
+++ b/bamboodeck/gateway/ports.py
@@ -189,7 +189,10 @@
 class HistoryLost(msgspec.Struct, frozen=True):
     """Report that changes were missed, so a snapshot has to be read."""
 
+    # Of the answer, if there is one.
     era: int = 0
+    # Whether the store has the changes, but they are too many for an answer.
+    too_large: bool = False
 
 
 class RegistryFailed(msgspec.Struct, frozen=True):
--- a/bamboodeck/http/client_connection.py
+++ b/bamboodeck/http/client_connection.py
@@ -205,7 +205,7 @@
             try:
                 self._sink.on_data(body)
             except ReplyTooLargeError as error:
-                self._fail(str(error), FailureKind.MALFORMED)
+                self._fail(str(error), FailureKind.TOO_LARGE)
         if parser.complete:
             reusable = parser.keep_alive and not parser.extra_data
             self._finish(reusable=reusable)
--- a/bamboodeck/http/messages.py
+++ b/bamboodeck/http/messages.py
@@ -90,6 +90,7 @@
     BROKEN = 'broken'
     MALFORMED = 'malformed'
     LATE = 'late'
+    TOO_LARGE = 'too-large'
 
 
 class HttpFailed(msgspec.Struct, frozen=True):
--- a/bamboodeck/platform/registry.py
+++ b/bamboodeck/platform/registry.py
@@ -46,6 +46,7 @@
 from bamboodeck.platform.store import (
     Change,
     ChangesRead,
+    ChangesTooLarge,
     Committed,
     Condition,
     Conflict,
@@ -237,6 +238,8 @@
             return Update(tuple(_decode_facts(changes)), revision, era)
         case HistoryCompacted(era=era):
             return HistoryLost(era)
+        case ChangesTooLarge():
+            return HistoryLost(too_large=True)
         case StoreFailed(reason=reason):
             return RegistryFailed(reason)
     return RegistryFailed(f'unexpected {type(reply).__name__}')
--- a/bamboodeck/platform/store.py
+++ b/bamboodeck/platform/store.py
@@ -13,6 +13,7 @@
 from bamboodeck.http.client import HttpClient
 from bamboodeck.http.messages import (
     Address,
+    FailureKind,
     Header,
     HttpCall,
     HttpFailed,
@@ -83,6 +84,10 @@
     era: int = 0
 
 
+class ChangesTooLarge(msgspec.Struct, frozen=True):
+    """Report that the changes since a revision exceed an answer's limit."""
+
+
 class Committed(msgspec.Struct, frozen=True):
     """Report that a commit was applied."""
 
@@ -116,6 +121,7 @@
     ItemsRead
     | ChangesRead
     | HistoryCompacted
+    | ChangesTooLarge
     | Committed
     | Conflict
     | LeaseGranted
@@ -226,6 +232,8 @@
                 reply = _decode_changes(outcome)
             elif _status_of(outcome) == _GONE:
                 reply = HistoryCompacted(_read_era(outcome))
+            elif _is_too_large(outcome):
+                reply = ChangesTooLarge()
             self._deliver(reply, on_reply)
 
         self._call('GET', path, b'', on_outcome, wait_s + WATCH_SLACK_S)
@@ -370,6 +378,12 @@
     return outcome.status if isinstance(outcome, HttpReply) else 0
 
 
+def _is_too_large(outcome: HttpOutcome) -> bool:
+    if not isinstance(outcome, HttpFailed):
+        return False
+    return outcome.kind is FailureKind.TOO_LARGE
+
+
 def _read_era(reply: HttpReply) -> int:
     text = find_header(reply.headers, protocol.STORE_ERA) or ''
     return int(text) if _ERA.fullmatch(text) else 0
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -16,12 +16,15 @@
 from bamboodeck.gateway import store_polling
 from bamboodeck.gateway.known_state import RELIST_S
 from bamboodeck.gateway.ports import RegistryFailed, RegistryReply
+from bamboodeck.http.reply_collector import MAX_REPLY_BYTES
 from bamboodeck.loop.program import Loop
 from bamboodeck.platform import protocol, store
 from tests.gateway.harness import GatewayHarness
 
 
 HEARTBEAT_S = 0.2
+# Of a configuration that is changed many times.
+ROUTES = 800
 
 
 class RefusedRegistry:
@@ -95,6 +98,42 @@
         assert harness.ask(PAY).status == 503
 
 
+class TestManyChanges:
+    """Read a snapshot where the changes exceed an answer's limit."""
+
+    @pytest.mark.parametrize(
+        'first_mode', [StoreMode.REFUSES, StoreMode.SILENT]
+    )
+    def test_changes_asked_for_without_end(
+        self,
+        harness: GatewayHarness,
+        first_mode: StoreMode,
+    ) -> None:
+        """Catch up with the configuration and the engines."""
+        harness.store.mode = first_mode
+        harness.until(lambda: 'store_lost' in harness.log())
+        routes = [f'/route-{number}/' for number in range(ROUTES)]
+        size_bytes = 0
+        version = 1
+        while size_bytes < 1.2 * MAX_REPLY_BYTES:
+            version += 1
+            document = build_configuration(version, extra_routes=routes)
+            size_bytes += len(document)
+            harness.store.put(protocol.CONFIGURATION_KEY, document)
+        version += 1
+        harness.store.put(
+            protocol.CONFIGURATION_KEY,
+            build_configuration(version, tenants=[]),
+        )
+        harness.store.remove(f'{protocol.ENGINE_PREFIX}model-1')
+        harness.store.mode = StoreMode.SERVES
+        context = harness.apps[0].context
+        harness.until(lambda: context.configuration.version == version)
+        harness.until_engines(1)
+        assert 'too_large=True' in harness.log()
+        assert harness.ask(PAY).status == 401
+
+
 class TestLapsedEntries:
     """Give engines time to be listed again after an outage."""
 
