Keep publishing to other hosts after a caller's absurd token counts

Cause: the sum doesn't fit a message, the publishing raises, and a repeated call was scheduled anew only after a callback that returns.

ConnectSink passes failures by a method of its own.

--- a/bamboodeck/http/client.py
+++ b/bamboodeck/http/client.py
@@ -26,7 +26,7 @@
         on_connected: Callable[[HttpFailed | None], None],
     ) -> None:
         """Pass the failure, or none, to the callback."""
-        self.on_failed: Callable[[HttpFailed], None] = on_connected
+        self._on_connected = on_connected
 
     def on_head(self, head: ReplyHead) -> None:
         """Ignore bytes that no call asked for."""
@@ -36,7 +36,11 @@
 
     def on_end(self) -> None:
         """Report the connection as established."""
-        self.on_failed(None)
+        self._on_connected(None)
+
+    def on_failed(self, failure: HttpFailed) -> None:
+        """Report why there is no connection."""
+        self._on_connected(failure)
 
 
 class HttpClient:
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -16,6 +16,8 @@
 
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# Far more than any engine's memory; sums of it still fit a message.
+MAX_TOKENS = 1_000_000_000
 _MAX_CONFIDENCE = 100
 _HEX = 16
 
@@ -195,14 +197,14 @@
     hint = _parse_number(headers.get(protocol.LENGTH_HINT.lower()))
     return Generation(
         model=None if model == protocol.ANY_MODEL else model,
-        prompt_tokens=int(prompt),
-        max_output_tokens=int(output),
+        prompt_tokens=_to_tokens(prompt),
+        max_output_tokens=_to_tokens(output),
         parts=tuple(
             _parse_prompt_parts(
                 headers.get(protocol.PROMPT_PREFIX.lower(), '')
             ),
         ),
-        expected_output_tokens=None if hint is None else int(hint),
+        expected_output_tokens=None if hint is None else _to_tokens(hint),
         last_event_id=headers.get(_LAST_EVENT_ID),
     )
 
@@ -218,6 +220,10 @@
             return
 
 
+def _to_tokens(count: float) -> int:
+    return min(int(count), MAX_TOKENS)
+
+
 def _parse_number(text: str | None) -> float | None:
     if text is None:
         return None
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -7,6 +7,7 @@
 from bamboodeck.http.request_parser import ParsedRequest
 from bamboodeck.platform import protocol
 from bamboodeck.platform.exchanges import (
+    MAX_TOKENS,
     build_engine_call,
     build_refusal_headers,
     decode_engine_head,
@@ -104,6 +105,27 @@
         names = [header.name for header in request.headers]
         assert names == ['Host', 'x-other']
 
+    @pytest.mark.parametrize('counts', ['1e30,20', '20,1e300', '1e30,1e30'])
+    def test_messages_stopped_by_token_counts(self, counts: str) -> None:
+        """Bound counts, so that sums of them fit the hosts' messages."""
+        request = decode_request(
+            build_parsed(
+                **{
+                    to_argument_name(protocol.MODEL): 'm',
+                    to_argument_name(protocol.TOKEN_COUNTS): counts,
+                    to_argument_name(protocol.LENGTH_HINT): '1e30',
+                },
+            ),
+            0.0,
+        )
+        generation = request.generation
+        counted = (
+            generation.prompt_tokens,
+            generation.max_output_tokens,
+            generation.expected_output_tokens,
+        )
+        assert all(count <= MAX_TOKENS for count in counted)
+
 
 class TestCalls:
     """Build calls to engines."""
