--- a/bamboodeck/loop/scheduler.py
+++ b/bamboodeck/loop/scheduler.py
@@ -57,11 +57,9 @@
         def run() -> None:  # noqa: WPS430
             if repeated.callback is None:
                 return
-            try:
-                repeated.callback()
-            finally:
-                # The loop logs an exception; the next call is due all the same.
-                self.call_after(self._until_multiple_s(period_s), run)
+            # First, as the callback may raise.
+            self.call_after(self._until_multiple_s(period_s), run)
+            repeated.callback()
 
         self.call_after(self._until_multiple_s(period_s), run)
         return repeated
