Check for a crash only where a connection broke

Trace (the log in the failure): the first attempt was judged late, as the busy process took 0.76 s, and the check of an engine that a request had no answer of opened a connection for the pool. On an idle machine the attempt fails by its event's size, and nothing is checked. So a fault of the check, not of the test: a request that ends late has its connection still open, so that its engine can't refuse another; the check costs a connection and tells nothing.

Now only a broken connection leads to a check. Late and silent requests are recorded as before, for engines that are replaced, refuse later traffic or have another engine at their address. test_connection_opened_to_late_engine fails before.

--- a/bamboodeck/gateway/fingerprints.py
+++ b/bamboodeck/gateway/fingerprints.py
@@ -81,7 +81,19 @@
         )
 
     def record_broken(self, fingerprint: str, engine: Engine) -> None:
-        """Record a request without an answer, and check on its engine."""
+        """Record a request whose connection broke, and check its engine."""
+        self.record_unanswered(fingerprint, engine)
+        broken = self._broken.get(engine.incarnation)
+        if broken is None or broken.checking:
+            return
+        broken.checking = True
+        self._context.loop.scheduler.call_after(
+            CHECK_DELAY_S,
+            lambda: self._check(engine),
+        )
+
+    def record_unanswered(self, fingerprint: str, engine: Engine) -> None:
+        """Record a request without an answer."""
         if engine.leaving or engine.unlisted:
             # It stops, and breaks off what it runs.
             return
@@ -97,13 +109,6 @@
             ),
         )
         del broken.requests[:-MAX_BROKEN_REQUESTS]
-        if broken.checking:
-            return
-        broken.checking = True
-        self._context.loop.scheduler.call_after(
-            CHECK_DELAY_S,
-            lambda: self._check(engine),
-        )
 
     def record_refused(self, engine: Engine) -> None:
         """Suspect what broke off just before an engine was found crashed."""
--- a/bamboodeck/gateway/outcomes.py
+++ b/bamboodeck/gateway/outcomes.py
@@ -118,9 +118,13 @@
         if not failure.maybe_started or failure.kind is FailureKind.MALFORMED:
             # It reached no engine, or one that runs on.
             return
-        self._record_broken(exchange, attempt)
-        if failure.kind is FailureKind.BROKEN:
-            self.parts.record_broken(exchange, attempt)
+        if failure.kind is not FailureKind.BROKEN:
+            self._record_unanswered(exchange, attempt)
+            return
+        if attempt.events < STREAMING_EVENTS:
+            # A request that crashes engines does so as they begin to run it.
+            self.crashes.record_broken(exchange.fingerprint, engine)
+        self.parts.record_broken(exchange, attempt)
 
     def on_rejected(self, exchange: Exchange, attempt: Attempt) -> None:
         """Record that an engine rejected a request without running it."""
@@ -142,7 +146,7 @@
         if took_s > exchange.route.target_latency_s:
             attempt.engine.record_failure()
         if attempt.engine.last_progress_s < attempt.began_s:
-            self._record_broken(exchange, attempt)
+            self._record_unanswered(exchange, attempt)
 
     def record_latency(
         self,
@@ -167,10 +171,13 @@
             ),
         )
 
-    def _record_broken(self, exchange: Exchange, attempt: Attempt) -> None:
-        # A request that crashes engines does so as they begin to run it.
+    def _record_unanswered(self, exchange: Exchange, attempt: Attempt) -> None:
+        # Its connection is open, so a check would tell nothing new.
         if attempt.events < STREAMING_EVENTS:
-            self.crashes.record_broken(exchange.fingerprint, attempt.engine)
+            self.crashes.record_unanswered(
+                exchange.fingerprint,
+                attempt.engine,
+            )
 
     def _decline(self, engine: Engine, duration_s: float) -> None:
         declined_s = engine.decline(duration_s, self._context.now_s())
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -296,3 +296,11 @@
         app.traffic.outcomes.crashes.record_broken('sound', engine)
         bench.until(lambda: bool(checks))
         assert 'request_suspected' not in bench.log()
+
+    def test_connection_opened_to_late_engine(self, bench: Bench) -> None:
+        """Open no connection to an engine that only answers late."""
+        engine = bench.add_raw(fall_silent)
+        assert ask_deadly(bench, PAY).status == 504
+        bench.wait(2 * CHECK_DELAY_S)
+        assert len(engine.calls) == 1
+        assert not engine.connections
