Keep stalls of the test process out of system tests

Callers: not affected; the tests' harness was at fault.

Cause: the harness runs all hosts, engines and the store in one process on the real clock. A stall of that process expires the timeouts of all of them for each other at once, which hosts of their own never do: an engine's load isn't answered within 2 s, and the time in which a zone is to confirm passes while nobody runs.

The nodes, stand-ins and bounds of a system now share a clock that counts at most 0.1 s between two readings. All assertions and bounds stay.

--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -38,6 +38,7 @@
 )
 from tests.http.looping import build_loop
 from tests.ports import find_free_address
+from tests.steady_clock import SteadyClock
 
 UNTIL_TIMEOUT_S = 30.0
 FOLD_PERIOD_S = 0.5
@@ -87,11 +88,18 @@
 class System:
     """Run the fakes and the nodes of a small deployment."""
 
-    def __init__(self, zones: int = 3, hosts_per_zone: int = 2) -> None:
-        """Start the fakes and every node."""
+    def __init__(
+        self,
+        zones: int = 3,
+        hosts_per_zone: int = 2,
+        source_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Start the fakes and every node, on a clock that follows another."""
+        self.now_s = SteadyClock(source_s).read_s
+        self._environment = Environment(monotonic_s=self.now_s)
         self.log_stream = io.StringIO()
         self.log = build_event_log(self.log_stream)
-        self.fakes_loop = build_loop()
+        self.fakes_loop = build_loop(self._environment)
         self.client = HttpClient(self.fakes_loop)
         self.loops: dict[str, Loop] = {}
         self.frozen: set[str] = set()
@@ -115,9 +123,9 @@
 
     def until(self, happened: Callable[[], bool]) -> None:
         """Run the loops until a condition holds; fail on timeout."""
-        give_up_s = time.monotonic() + UNTIL_TIMEOUT_S
+        give_up_s = self.now_s() + UNTIL_TIMEOUT_S
         while not happened():
-            assert time.monotonic() < give_up_s, self.log_stream.getvalue()
+            assert self.now_s() < give_up_s, self.log_stream.getvalue()
             self.tick()
 
     def start_host(self, host: HostAddresses) -> None:
@@ -129,7 +137,7 @@
         """Start the entry process of a host."""
         text = self._write_entry_settings(host)
         settings = parse_entry_settings(text, 'test')
-        app = EntryApp(Environment(), settings, self.log, raising=True)
+        app = EntryApp(self._environment, settings, self.log, raising=True)
         app.start()
         self._register(settings.node, app)
         self.entries[host.name] = app
@@ -139,7 +147,7 @@
         text = self._write_controller_settings(host)
         settings = parse_controller_settings(text, 'test')
         app = ControllerApp(
-            Environment(),
+            self._environment,
             settings,
             self.log,
             raising=True,
@@ -212,7 +220,7 @@
         assert answer.status == 200, answer.body
         self.until(
             lambda: all(
-                app.is_ready() and app.replica.age_s(time.monotonic()) < 60
+                app.is_ready() and app.replica.age_s(self.now_s()) < 60
                 for app in self.entries.values()
             ),
         )
@@ -336,8 +344,8 @@
 
     def run_for(self, duration_s: float) -> None:
         """Run the loops for some seconds."""
-        end_s = time.monotonic() + duration_s
-        self.until(lambda: time.monotonic() >= end_s)
+        end_s = self.now_s() + duration_s
+        self.until(lambda: self.now_s() >= end_s)
 
     def revisions(self) -> set[int]:
         """Return the revisions in force on all nodes."""
--- a/tests/system/test_limits.py
+++ b/tests/system/test_limits.py
@@ -1,7 +1,6 @@
 """Test that the shares of a fleet-wide limit follow demand."""
 
 import re
-import time
 
 from tests.system.harness import System
 
@@ -41,15 +40,15 @@
         busy = system.entries['host0']
         assert read_share(busy) == LIMIT_PER_S / NODES
         sums = []
-        give_up_s = time.monotonic() + 30
+        give_up_s = system.now_s() + 30
         while read_share(busy) < 0.7 * LIMIT_PER_S:
-            assert time.monotonic() < give_up_s, system.log_stream.getvalue()
+            assert system.now_s() < give_up_s, system.log_stream.getvalue()
             system.ask(system.host_addresses[0], DESK_KEY)
             sums.append(read_sum(system))
         assert max(sums) <= LIMIT_PER_S * (1 + 1e-6)
         share = read_share(busy)
         for host in tuple(system.controllers):
             system.kill(f'{host}.controller')
-        until_s = time.monotonic() + 4
-        system.until(lambda: time.monotonic() > until_s)
+        until_s = system.now_s() + 4
+        system.until(lambda: system.now_s() > until_s)
         assert read_share(busy) == share
