Judge the payments' case by the rule as written

The case counts which of the requests that are unanswered at their route's timeout have no answer half a second later.

--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -44,6 +44,8 @@
     """Hold a request and its outcome; status 0 stands for no answer."""
 
     request_id: str
+    sent_s: float = 0.0
+    ended_s: float | None = None
     outcome: HttpOutcome | None = None
 
     @property
@@ -53,6 +55,12 @@
             return self.outcome.status
         return 0
 
+    def is_open_after(self, duration_s: float) -> bool:
+        """Tell whether it had no final answer so long after it was sent."""
+        if self.ended_s is None:
+            return True
+        return self.ended_s > self.sent_s + duration_s
+
 
 class System:
     """Hold the stand-ins, the gateways and the record of a case."""
@@ -181,7 +189,7 @@
         )
         self.client.send(call, outcomes.append, fresh_connection=True)
         self.until(lambda: bool(outcomes), 2.0)
-        return bool(outcomes) and Answer('', outcomes[0]).status == 200
+        return bool(outcomes) and Answer('', outcome=outcomes[0]).status == 200
 
     def send(
         self,
@@ -197,7 +205,7 @@
     ) -> Answer:
         """Send a request; the answer is filled in as it arrives."""
         self._requests += 1
-        answer = Answer(f'request-{self._requests}')
+        answer = Answer(f'request-{self._requests}', time.monotonic())
         call = HttpCall(
             self.gateways[gateway].callers,
             method,
@@ -223,6 +231,7 @@
 
         def on_outcome(outcome: HttpOutcome) -> None:
             answer.outcome = outcome
+            answer.ended_s = time.monotonic()
             text = ''
             if isinstance(outcome, HttpReply):
                 text = outcome.body[:80].decode('latin-1')
