Make up for a poll that comes due during another call

Cause, from a trace of the case: a timer that fired while a configuration was read sent nothing and scheduled nothing, and the end of that read doesn't schedule a poll either. Updates of others hide it until too few hosts are left to publish.

Ruled out by the trace and the logs: a call without end (each one ended), an error in a handler (no handler_failed), a wrong rank in the zone (no timer fired at all).

Change: the timer is set again before anything else, so no end of a call is needed for the next poll; one that came due during a read of a configuration follows at the end of the read. An error in the handling of a reply had the same effect and is covered by it.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -103,6 +103,7 @@
 
     def start(self) -> None:
         """Read a snapshot, then poll for changes."""
+        self._schedule_poll(RECHECK_S)
         self._calls.begin(self._context.now_s())
         # A stale read may still list what was withdrawn before a restart.
         self._registry.read_all(
@@ -249,6 +250,8 @@
                 case RegistryFailed(reason=reason):
                     self._on_store_lost(reason)
                     return
+            if self._calls.poll_postponed:
+                self._schedule_poll(0)
             too_old = self._known.configuration_revision < wanted_revision
             if too_old and self._may_ask_for_news():
                 self._poll()
@@ -334,6 +337,11 @@
         )
 
     def _poll_if_stale(self) -> None:
+        # First, as no reply may come that schedules the next poll.
+        self._schedule_poll(RECHECK_S)
+        if self._calls.in_flight:
+            self._calls.poll_postponed = True
+            return
         left_s = self._find_due_s() - self._context.now_s()
         if left_s > 0:
             self._schedule_poll(min(left_s, RECHECK_S))
--- a/bamboodeck/gateway/store_calls.py
+++ b/bamboodeck/gateway/store_calls.py
@@ -17,6 +17,8 @@
     def __init__(self) -> None:
         """Start without calls."""
         self.in_flight = False
+        # Whether a poll came due while the call is in flight.
+        self.poll_postponed = False
         self.failures = 0
         self.failed_s = 0.0
         # When the store itself last answered.
@@ -27,6 +29,7 @@
     def begin(self, now_s: float) -> None:
         """Record that a call is sent."""
         self.in_flight = True
+        self.poll_postponed = False
         self._began_s = now_s
 
     def record_reply(self, now_s: float) -> None:
--- /dev/null
+++ b/tests/gateway/test_lost_polls.py
@@ -0,0 +1,110 @@
+"""Test that every host goes on asking the store, whatever came in between."""
+
+import contextlib
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import pytest
+
+from bamboodeck.gateway.model import Bounds
+from bamboodeck.gateway.store_polling import MIN_SHARING_HOSTS
+from tests.gateway.virtual_zone import ANSWER_S, VirtualZone
+
+BOUNDS = Bounds(drain_s=2.5, configuration_s=2.5, stability_s=4.0)
+SETTLE_S = 8.0
+SLOW_ANSWER_S = 0.24
+CONFIGURATIONS = 3
+GAP_S = 1.3
+
+
+def start_zone(hosts: int, seed: int) -> VirtualZone:
+    """Run a zone until its hosts share their polls and have a version."""
+    zone = VirtualZone(hosts, BOUNDS, seed)
+    zone.put_configuration()
+    zone.clock.run(SETTLE_S)
+    assert zone.configured() == hosts
+    return zone
+
+
+def change_while_slow(zone: VirtualZone) -> None:
+    """Write configurations while the store takes long for an answer."""
+    zone.answer_s = SLOW_ANSWER_S
+    zone.stale_read_s = 0.0
+    for _ in range(CONFIGURATIONS):
+        zone.clock.run(GAP_S)
+        zone.put_configuration()
+    zone.clock.run(GAP_S)
+    zone.answer_s = ANSWER_S
+    zone.clock.run(BOUNDS.stability_s)
+
+
+@pytest.mark.parametrize('seed', range(1, 6))
+@pytest.mark.parametrize('hosts', [MIN_SHARING_HOSTS, 7, 30])
+class TestPollDueDuringRead:
+    """Don't lose the poll that came due while a configuration was read."""
+
+    def test_hosts_stop_asking_in_shrunken_zone(
+        self,
+        hosts: int,
+        seed: int,
+    ) -> None:
+        """Follow the store alone once too few hosts are left to share."""
+        zone = start_zone(hosts, seed)
+        change_while_slow(zone)
+        zone.exited = set(range(hosts - MIN_SHARING_HOSTS + 1))
+        zone.clock.run(BOUNDS.stability_s)
+        zone.put_configuration()
+        zone.clock.run(BOUNDS.configuration_s)
+        assert zone.configured() == MIN_SHARING_HOSTS - 1
+
+    def test_hosts_stop_asking_unheard(self, hosts: int, seed: int) -> None:
+        """Follow the store alone once no host hears of another."""
+        zone = start_zone(hosts, seed)
+        change_while_slow(zone)
+        zone.connected = False
+        zone.clock.run(BOUNDS.stability_s)
+        zone.put_configuration()
+        zone.clock.run(BOUNDS.configuration_s)
+        assert zone.configured() == hosts
+
+    def test_calls_grow(self, hosts: int, seed: int) -> None:
+        """Make no more calls afterwards than before."""
+        zone = start_zone(hosts, seed)
+        before = zone.calls_within(20.0)
+        change_while_slow(zone)
+        assert zone.calls_within(20.0) <= before + 2
+
+
+@pytest.mark.parametrize('hosts', [1, 5, MIN_SHARING_HOSTS, 30])
+class TestErrorInReply:
+    """Go on after an error in the handling of a reply."""
+
+    def test_hosts_stop_asking_after_error(self, hosts: int) -> None:
+        """Ask again, as the loop only logs an error of a callback."""
+        zone = start_zone(hosts, seed=1)
+        for context in zone.contexts:
+            context.apply_configuration = fail_once(context)
+        zone.put_configuration()
+        run_through_errors(zone, BOUNDS.stability_s)
+        zone.put_configuration()
+        run_through_errors(zone, BOUNDS.configuration_s)
+        assert zone.configured() == hosts
+
+
+def fail_once(context: SimpleNamespace) -> Callable[[object], None]:
+    """Return a function that fails before the one of a context works."""
+    apply = context.apply_configuration
+
+    def fail(configuration: object) -> None:
+        context.apply_configuration = apply
+        raise RuntimeError('a fault')
+
+    return fail
+
+
+def run_through_errors(zone: VirtualZone, duration_s: float) -> None:
+    """Run the clock on where an error leaves a callback, as the loop does."""
+    end_s = zone.clock.now_s + duration_s
+    while zone.clock.now_s < end_s:
+        with contextlib.suppress(RuntimeError):
+            zone.clock.run(end_s - zone.clock.now_s)
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -1,5 +1,6 @@
 """Run the store polling of a whole zone on a virtual clock."""
 
+import errno
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -79,7 +80,7 @@
     def read_configuration(self, on_reply: OnReply) -> None:
         """Return the newest configuration that is old enough to be read."""
         zone = self._zone
-        readable_s = zone.clock.now_s - STALE_READ_S
+        readable_s = zone.clock.now_s - zone.stale_read_s
         listed = [
             each
             for each, written_s in zone.configurations
@@ -87,7 +88,7 @@
         ]
         snapshot = Snapshot(tuple(listed[-1:]), zone.revision, zone.era)
         # The store also answers stale reads of hosts that it refuses.
-        zone.clock.call_after(ANSWER_S, lambda: on_reply(snapshot))
+        zone.clock.call_after(zone.answer_s, lambda: on_reply(snapshot))
 
     def wait_for_changes(
         self,
@@ -129,6 +130,10 @@
     ) -> None:
         zone = self._zone
         zone.count_call()
+        if zone.out_of_descriptors:
+            raise OSError(errno.EMFILE, 'Too many open files')
+        if zone.loses_callbacks:
+            return
         if zone.silent or zone.take_silent_connection(self._rank):
             lost = RegistryFailed('no data received')
             zone.clock.call_after(timeout_s, lambda: on_reply(lost))
@@ -142,9 +147,9 @@
             self._rank,
             on_reply,
             build,
-            timeout_s - wait_s - ANSWER_S,
+            timeout_s - wait_s - zone.answer_s,
         )
-        zone.clock.call_after(ANSWER_S + wait_s, call.finish)
+        zone.clock.call_after(zone.answer_s + wait_s, call.finish)
         if wait_s:
             zone.waiting.append(call.finish_early)
 
@@ -206,7 +211,17 @@
         self.era = 1
         self._version = 0
         self.serves: Callable[[int], bool] = lambda rank: True
+        self.answer_s = ANSWER_S
+        self.stale_read_s = STALE_READ_S
         self.failure_s = ANSWER_S
+        # Calls raise an error before they are sent.
+        self.out_of_descriptors = False
+        # Calls never end, as their callbacks are lost.
+        self.loses_callbacks = False
+        # Whether the hosts hear each other.
+        self.connected = True
+        # The hosts that have exited.
+        self.exited: set[int] = set()
         # Whether hosts tell each other when the store last answered them.
         self.tells_age = False
         # A silent store answers no call, and forgets those that wait.
@@ -318,13 +333,17 @@
     def answer_waiting(self) -> None:
         """Answer the calls that wait for a change."""
         for finish in self.waiting:
-            self.clock.call_after(ANSWER_S, finish)
+            self.clock.call_after(self.answer_s, finish)
         self.waiting.clear()
 
     def configured(self) -> int:
-        """Return how many hosts have the newest configuration."""
+        """Return how many running hosts have the newest configuration."""
         newest = self.configurations[-1][0].configuration
-        return sum(each.configuration is newest for each in self.contexts)
+        return sum(
+            context.configuration is newest
+            for rank, context in enumerate(self.contexts)
+            if rank not in self.exited
+        )
 
     def changes_after(self, revision: int) -> tuple[Fact, ...]:
         """Return the changes after a revision."""
@@ -376,7 +395,7 @@
             ),
             lambda fact: None,
             lambda: None,
-            lambda: ZoneRank(rank, hosts),
+            lambda: self._find_zone_rank(rank, hosts),
         )
         self.contexts.append(context)
         self.discoveries.append(discovery)
@@ -384,6 +403,10 @@
         self.clock.call_after(self._random.uniform(0, 0.3), discovery.start)
         self._publish_later(rank)
 
+    def _find_zone_rank(self, rank: int, hosts: int) -> ZoneRank:
+        lower = sum(each < rank for each in self.exited)
+        return ZoneRank(rank - lower, hosts - len(self.exited))
+
     def _build_context(self, bounds: Bounds) -> SimpleNamespace:
         clock = self.clock
 
@@ -444,7 +467,7 @@
             )
         self._publish_evacuations(rank, others)
         message = self.discoveries[rank].build_update()
-        if message is None:
+        if message is None or not self.connected or rank in self.exited:
             return
 
         def deliver() -> None:
