End a call to the store that can't be sent, or never ends

A connection that can't be opened, as no descriptor is left, raised an error after the call was marked as in flight, so the host never asked again, in zones of any size. The same followed from a reply whose callback is lost; no way to lose one is known.

--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -104,11 +104,14 @@
     def start(self) -> None:
         """Read a snapshot, then poll for changes."""
         self._schedule_poll(RECHECK_S)
-        self._calls.begin(self._context.now_s())
-        # A stale read may still list what was withdrawn before a restart.
-        self._registry.read_all(
+        self._calls.send(
+            self._context.now_s(),
+            lambda on_reply: self._registry.read_all(
+                on_reply,
+                # It may still list what was withdrawn before a restart.
+                stale=self._context.settings.first_start,
+            ),
             self._on_first_reply,
-            stale=self._context.settings.first_start,
         )
 
     def build_update(self) -> StoreUpdate | None:
@@ -221,7 +224,6 @@
         return not self._calls.failures or self._context.now_s() >= retry_s
 
     def _on_first_reply(self, reply: RegistryReply) -> None:
-        self._calls.in_flight = False
         match reply:
             case Snapshot():
                 self.contact.record_answer()
@@ -243,7 +245,6 @@
             return
 
         def on_reply(reply: RegistryReply) -> None:
-            self._calls.in_flight = False
             match reply:
                 case Snapshot(facts=facts):
                     self._known.apply(facts)
@@ -256,11 +257,13 @@
             if too_old and self._may_ask_for_news():
                 self._poll()
 
-        self._calls.begin(self._context.now_s())
-        self._registry.read_configuration(on_reply)
+        self._calls.send(
+            self._context.now_s(),
+            self._registry.read_configuration,
+            on_reply,
+        )
 
     def _on_reply(self, reply: RegistryReply) -> None:
-        self._calls.in_flight = False
         was_stale = self._is_staler_than(SECOND_STALENESS_FRACTION)
         self._handle_reply(reply)
         if (
@@ -318,8 +321,11 @@
     def _read_snapshot(self) -> None:
         if self._calls.in_flight:
             return
-        self._calls.begin(self._context.now_s())
-        self._registry.read_all(self._on_reply)
+        self._calls.send(
+            self._context.now_s(),
+            self._registry.read_all,
+            self._on_reply,
+        )
 
     def _schedule(self) -> PollSchedule:
         return build_schedule(
@@ -339,10 +345,14 @@
     def _poll_if_stale(self) -> None:
         # First, as no reply may come that schedules the next poll.
         self._schedule_poll(RECHECK_S)
+        now_s = self._context.now_s()
+        if self._calls.give_up_overdue(now_s):
+            self._on_store_lost('the call has not ended')
+            return
         if self._calls.in_flight:
             self._calls.poll_postponed = True
             return
-        left_s = self._find_due_s() - self._context.now_s()
+        left_s = self._find_due_s() - now_s
         if left_s > 0:
             self._schedule_poll(min(left_s, RECHECK_S))
             return
@@ -366,10 +376,13 @@
         if not self.complete:
             self.start()
             return
-        self._calls.begin(self._context.now_s())
-        self._registry.wait_for_changes(
-            self.revision,
-            self._schedule().wait_s,
+        self._calls.send(
+            self._context.now_s(),
+            lambda on_reply: self._registry.wait_for_changes(
+                self.revision,
+                self._schedule().wait_s,
+                on_reply,
+            ),
             self._on_reply,
         )
 
--- a/bamboodeck/gateway/store_calls.py
+++ b/bamboodeck/gateway/store_calls.py
@@ -1,5 +1,8 @@
 """Track a host's calls to the store, and when it may retry a failed one."""
 
+from collections.abc import Callable
+
+from bamboodeck.gateway.ports import RegistryFailed, RegistryReply
 from bamboodeck.gateway.store_polling import (
     MAX_RETRY_S,
     ZoneRank,
@@ -9,6 +12,11 @@
 # Doubling further would overflow the delay.
 MAX_FAILURES = 16
 TURN_SPREAD_S = 0.5
+# The store keeps its history for this long, so a snapshot that took longer
+# can't be followed up.
+MAX_CALL_S = 20.0
+
+OnReply = Callable[[RegistryReply], None]
 
 
 class StoreCalls:
@@ -23,14 +31,30 @@
         self.failed_s = 0.0
         # When the store itself last answered.
         self.last_reply_s = 0.0
+        self._number = 0
         self._began_s = 0.0
         self._retry_spread = 1.0
 
-    def begin(self, now_s: float) -> None:
-        """Record that a call is sent."""
-        self.in_flight = True
-        self.poll_postponed = False
-        self._began_s = now_s
+    def send(
+        self,
+        now_s: float,
+        call: Callable[[OnReply], None],
+        on_reply: OnReply,
+    ) -> None:
+        """Make a call; one that can't be sent fails at once."""
+        on_ended = self._begin(now_s, on_reply)
+        try:
+            call(on_ended)
+        except OSError as error:
+            # The host has no descriptor left, for example.
+            on_ended(RegistryFailed(f'not sent: {error}'))
+
+    def give_up_overdue(self, now_s: float) -> bool:
+        """Give up a call without a reply, and tell whether there was one."""
+        if not self.in_flight or now_s - self._began_s < MAX_CALL_S:
+            return False
+        self.in_flight = False
+        return True
 
     def record_reply(self, now_s: float) -> None:
         """Record an answer of the store, which ends the failures."""
@@ -62,3 +86,19 @@
         # Turns are a second apart, and stay so.
         spread_s = (self._retry_spread - 1) * TURN_SPREAD_S
         return self.failed_s + delay_s + spread_s
+
+    def _begin(self, now_s: float, on_reply: OnReply) -> OnReply:
+        self._number += 1
+        number = self._number
+        self.in_flight = True
+        self.poll_postponed = False
+        self._began_s = now_s
+
+        def end(reply: RegistryReply) -> None:
+            if not self.in_flight or number != self._number:
+                # The call was given up.
+                return
+            self.in_flight = False
+            on_reply(reply)
+
+        return end
--- a/tests/gateway/test_lost_polls.py
+++ b/tests/gateway/test_lost_polls.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bamboodeck.gateway.model import Bounds
+from bamboodeck.gateway.store_calls import MAX_CALL_S
 from bamboodeck.gateway.store_polling import MIN_SHARING_HOSTS
 from tests.gateway.virtual_zone import ANSWER_S, VirtualZone
 
@@ -76,11 +77,31 @@
 
 
 @pytest.mark.parametrize('hosts', [1, 5, MIN_SHARING_HOSTS, 30])
-class TestErrorInReply:
-    """Go on after an error in the handling of a reply."""
+class TestCallWithoutReply:
+    """Ask again after a call whose reply never comes."""
 
-    def test_hosts_stop_asking_after_error(self, hosts: int) -> None:
-        """Ask again, as the loop only logs an error of a callback."""
+    def test_no_descriptors(self, hosts: int) -> None:
+        """Count a call that can't be sent as failed."""
+        zone = start_zone(hosts, seed=1)
+        zone.out_of_descriptors = True
+        zone.clock.run(5.0)
+        zone.out_of_descriptors = False
+        zone.put_configuration()
+        zone.clock.run(BOUNDS.stability_s)
+        assert zone.configured() == hosts
+
+    def test_lost_callbacks(self, hosts: int) -> None:
+        """Give up a call that has not ended."""
+        zone = start_zone(hosts, seed=1)
+        zone.loses_callbacks = True
+        zone.clock.run(5.0)
+        zone.loses_callbacks = False
+        zone.put_configuration()
+        zone.clock.run(MAX_CALL_S + BOUNDS.stability_s)
+        assert zone.configured() == hosts
+
+    def test_error_in_reply(self, hosts: int) -> None:
+        """Go on after an error in the handling of a reply."""
         zone = start_zone(hosts, seed=1)
         for context in zone.contexts:
             context.apply_configuration = fail_once(context)
