Promise "not run" only where the engine states it

Cause: a complete answer to a request that may not be repeated was forwarded with the engine's status, whatever that status promises; only the engine's mark says what ran. 408 and 429 are the same, and so are streams that can't be resumed.

Ruled out: a 503 of the host's own (it bore the engine's stamp), and a dependence on framing or size (tests).

Change: such an answer ends as a failure of the host's own, 502 without the engine's stamp, once it is complete or exceeds what is held.

--- a/bamboodeck/gateway/delivery.py
+++ b/bamboodeck/gateway/delivery.py
@@ -99,7 +99,7 @@
         self._body += chunk
         if self._held.resize(len(self._body)):
             return
-        if attempt.head.not_run:
+        if attempt.head.not_run or self._withholds(attempt.head):
             attempt.fail('rejection exceeds the size limit', _MALFORMED)
             return
         self.begun = True
@@ -121,6 +121,14 @@
             exchange.responder.end()
             return
         self._complete = True
+        if self._withholds(head):
+            exchange.context.metrics.count('unconfirmed_rejection')
+            exchange.handle_failure(
+                attempt,
+                FailureCause.ERROR,
+                'engine rejected without stating that it did not run',
+            )
+            return
         if head.status >= _SERVER_ERROR and exchange.route.retryable:
             exchange.handle_failure(
                 attempt,
@@ -135,11 +143,16 @@
         head = attempt.head
         if not self._complete or head is None or head.not_run:
             return False
-        if head.status < _FIRST_ERROR:
+        if head.status < _FIRST_ERROR or self._withholds(head):
             return False
         self._respond(head)
         return True
 
+    def _withholds(self, head: EngineHead) -> bool:
+        # The caller would repeat a request that may have run. One that may run
+        # more than once gets the engine's own status.
+        return head.unconfirmed_rejection and not self._exchange.route.retryable
+
     def _respond(self, head: EngineHead) -> None:
         exchange = self._exchange
         exchange.record_first_byte()
--- a/bamboodeck/gateway/model.py
+++ b/bamboodeck/gateway/model.py
@@ -235,6 +235,8 @@
     headers: tuple[Header, ...] = ()
     request_id: str | None = None
     not_run: bool = False
+    # Callers take its status for the promise that the request never runs.
+    promises_not_run: bool = False
     # Another engine answers at the address of the call.
     misdirected: bool = False
     stamped: bool = False
@@ -261,6 +263,11 @@
             return False
         return self.status < _FIRST_ERROR
 
+    @property
+    def unconfirmed_rejection(self) -> bool:
+        """Tell whether its status promises what the engine does not state."""
+        return self.promises_not_run and not self.not_run
+
 
 class HostSettings(msgspec.Struct, frozen=True):
     """Hold the settings that the platform gives a host."""
--- a/bamboodeck/platform/exchanges.py
+++ b/bamboodeck/platform/exchanges.py
@@ -16,6 +16,8 @@
 
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# They tell callers that the request has not run, and never will.
+_NOT_RUN_STATUSES = frozenset((408, MISDIRECTED, 429, UNAVAILABLE))
 # Far more than any engine's memory; sums of it still fit a message.
 MAX_TOKENS = 1_000_000_000
 _MAX_CONFIDENCE = 100
@@ -155,6 +157,7 @@
             protocol.NOT_EXECUTED.lower() in by_name
             or head.status == MISDIRECTED
         ),
+        promises_not_run=head.status in _NOT_RUN_STATUSES,
         misdirected=head.status == MISDIRECTED,
         stamped=bool(by_name.get(protocol.STAMP.lower(), '').strip()),
         confidence=None if confidence is None else int(confidence),
