Let the soak meet a slow store, and engines that reject what they ran

The stand-in of the store can be slow (240 ms an answer), and that of an engine may run a request and answer 503 without saying what became of it; the soak draws both like its other faults, and its checks stay as they are (true refusals, configurations and leaving engines within their bounds).

--- a/bamboodeck/fakes/platform/engine.py
+++ b/bamboodeck/fakes/platform/engine.py
@@ -3,6 +3,7 @@
 import enum
 from collections import deque
 from http import HTTPStatus
+from types import MappingProxyType
 
 import msgspec
 
@@ -32,6 +33,16 @@
     NO_STAMP = 'no-stamp'
     # A second response follows the first one.
     EXTRA = 'extra'
+    # The request runs and gets a 503 that doesn't say whether it ran.
+    UNCONFIRMED = 'unconfirmed'
+
+
+_FAILURES = MappingProxyType(
+    {
+        EngineFault.ERROR: HTTPStatus.INTERNAL_SERVER_ERROR,
+        EngineFault.UNCONFIRMED: HTTPStatus.SERVICE_UNAVAILABLE,
+    },
+)
 
 
 class EngineRun(msgspec.Struct):
@@ -183,10 +194,9 @@
                 case EngineFault.CUT:
                     _record_outcome(run, 'cut')
                     responder.abort()
-                case EngineFault.ERROR:
+                case EngineFault.ERROR | EngineFault.UNCONFIRMED:
                     _record_outcome(run, 'error')
-                    failure = HTTPStatus.INTERNAL_SERVER_ERROR
-                    responder.respond(failure, head, b'failed')
+                    responder.respond(_FAILURES[fault], head, b'failed')
                 case _:
                     _record_outcome(run, 'whole')
                     responder.respond(HTTPStatus.OK, head, body)
@@ -202,9 +212,9 @@
     ) -> None:
         if fault is EngineFault.HANG:
             return
-        if fault is EngineFault.ERROR:
+        failure = None if fault is None else _FAILURES.get(fault)
+        if failure is not None:
             _record_outcome(run, 'error')
-            failure = HTTPStatus.INTERNAL_SERVER_ERROR
             responder.respond(failure, head, b'failed')
             return
         model = run.headers[protocol.MODEL.lower()]
--- a/bamboodeck/fakes/platform/store.py
+++ b/bamboodeck/fakes/platform/store.py
@@ -29,6 +29,7 @@
 PAGE_ITEMS = 50
 EXPIRY_PERIOD_S = 0.1
 MILLISECONDS_PER_S = 1000
+SLOW_ANSWER_S = 0.24
 
 _JSON = (Header('Content-Type', 'application/json'),)
 
@@ -43,6 +44,8 @@
     REFUSES = 'refuses'
     # Changes are applied, but the connection closes without a response.
     LOSES_ANSWERS = 'loses-answers'
+    # Answers take sixty times as long as usual.
+    SLOW = 'slow'
 
 
 class _PendingWatch(msgspec.Struct):
@@ -295,7 +298,14 @@
             responder.abort()
             return
         headers = (*_JSON, self._era_header())
-        responder.respond(status, headers, msgspec.json.encode(answer))
+        body = msgspec.json.encode(answer)
+        if self.mode is not StoreMode.SLOW:
+            responder.respond(status, headers, body)
+            return
+        self._loop.scheduler.call_after(
+            SLOW_ANSWER_S,
+            lambda: responder.respond(status, headers, body),
+        )
 
     def _refuse(self, responder: RelayExchange, status: int) -> None:
         responder.respond(status, (self._era_header(),))
