--- a/bamboodeck/gateway/app.py
+++ b/bamboodeck/gateway/app.py
@@ -277,6 +277,8 @@
             'registry_era': self.discovery.position.era,
             'registry_revision': self.discovery.revision,
             'registry_age_s': now_s - context.registry_confirmed_s,
+            'registry_asked_age_s': now_s - self.discovery.calls.began_s,
+            'registry_call_in_flight': int(self.discovery.calls.in_flight),
             'hosts': self.fleet.members.hosts,
             'engines': sum(not each.unlisted for each in context.engines),
             'engines_open': sum(
--- a/bamboodeck/gateway/discovery.py
+++ b/bamboodeck/gateway/discovery.py
@@ -84,8 +84,8 @@
         self._known = KnownState(context, rollouts, on_peer, on_configuration)
         self.evacuations = EvacuationTracker(context)
         self._find_zone_rank = find_zone_rank
+        self.calls = StoreCalls()
         self._changes = ChangeLog()
-        self._calls = StoreCalls()
         self.contact = StoreContact(context)
         self._timer: ScheduledCall | None = None
         self._lost_since_s: float | None = None
@@ -104,11 +104,11 @@
     def start(self) -> None:
         """Read a snapshot, then poll for changes."""
         self._schedule_poll(RECHECK_S)
-        self._calls.send(
+        self.calls.send(
             self._context.now_s(),
             lambda on_reply: self._registry.read_all(
                 on_reply,
-                # It may still list what was withdrawn before a restart.
+                # A stale read may list what was withdrawn before a restart.
                 stale=self._context.settings.first_start,
             ),
             self._on_first_reply,
@@ -121,7 +121,7 @@
         # A host that relies on updates of others has nothing newer to publish.
         if not (schedule.publish_s and self.complete):
             return None
-        if now_s - self._calls.last_reply_s > schedule.publish_s:
+        if now_s - self.calls.last_reply_s > schedule.publish_s:
             return None
         return self._changes.build_update(self._view(), now_s)
 
@@ -211,17 +211,17 @@
         return StoreView(
             self.position,
             self._known.configuration_revision,
-            self._calls.last_reply_s,
+            self.calls.last_reply_s,
             self._known.relist_until_s,
         )
 
     def _may_ask_for_news(self) -> bool:
         # A neighbour has news, so the store serves at least some hosts.
-        retry_s = self._calls.find_retry_s(
+        retry_s = self.calls.find_retry_s(
             self._find_zone_rank(),
             zone_served=True,
         )
-        return not self._calls.failures or self._context.now_s() >= retry_s
+        return not self.calls.failures or self._context.now_s() >= retry_s
 
     def _on_first_reply(self, reply: RegistryReply) -> None:
         match reply:
@@ -236,7 +236,7 @@
     def _read_configuration(self, wanted_revision: int) -> None:
         # A store that refuses this host may still answer stale reads, so they
         # don't wait for the delay after a failed poll.
-        if self._calls.in_flight:
+        if self.calls.in_flight:
             return
         if self._context.now_s() - self._restored_s < STALE_READ_S:
             # A stale read may show the history before the restore.
@@ -251,13 +251,13 @@
                 case RegistryFailed(reason=reason):
                     self._on_store_lost(reason)
                     return
-            if self._calls.poll_postponed:
+            if self.calls.poll_postponed:
                 self._schedule_poll(0)
             too_old = self._known.configuration_revision < wanted_revision
             if too_old and self._may_ask_for_news():
                 self._poll()
 
-        self._calls.send(
+        self.calls.send(
             self._context.now_s(),
             self._registry.read_configuration,
             on_reply,
@@ -268,7 +268,7 @@
         self._handle_reply(reply)
         if (
             was_stale
-            and not self._calls.failures
+            and not self.calls.failures
             and self.on_regained is not None
         ):
             self.on_regained()
@@ -319,9 +319,9 @@
         return pause_s
 
     def _read_snapshot(self) -> None:
-        if self._calls.in_flight:
+        if self.calls.in_flight:
             return
-        self._calls.send(
+        self.calls.send(
             self._context.now_s(),
             self._registry.read_all,
             self._on_reply,
@@ -331,7 +331,7 @@
         return build_schedule(
             self._find_zone_rank(),
             self._context.settings.bounds,
-            self._context.now_s() - self._calls.last_reply_s,
+            self._context.now_s() - self.calls.last_reply_s,
         )
 
     def _schedule_poll(self, delay_s: float) -> None:
@@ -346,11 +346,11 @@
         # First, as no reply may come that schedules the next poll.
         self._schedule_poll(RECHECK_S)
         now_s = self._context.now_s()
-        if self._calls.give_up_overdue(now_s):
+        if self.calls.give_up_overdue(now_s):
             self._on_store_lost('the call has not ended')
             return
-        if self._calls.in_flight:
-            self._calls.poll_postponed = True
+        if self.calls.in_flight:
+            self.calls.poll_postponed = True
             return
         left_s = self._find_due_s() - now_s
         if left_s > 0:
@@ -361,22 +361,22 @@
     def _find_due_s(self) -> float:
         schedule = self._schedule()
         stale_s = self._context.registry_confirmed_s + schedule.max_staleness_s
-        if not self._calls.failures:
+        if not self.calls.failures:
             return stale_s
-        zone_served = self._zone_confirmed_s > self._calls.failed_s
-        retry_s = self._calls.find_retry_s(
+        zone_served = self._zone_confirmed_s > self.calls.failed_s
+        retry_s = self.calls.find_retry_s(
             self._find_zone_rank(),
             zone_served=zone_served,
         )
         return max(retry_s, stale_s) if zone_served else retry_s
 
     def _poll(self) -> None:
-        if self._calls.in_flight:
+        if self.calls.in_flight:
             return
         if not self.complete:
             self.start()
             return
-        self._calls.send(
+        self.calls.send(
             self._context.now_s(),
             lambda on_reply: self._registry.wait_for_changes(
                 self.revision,
@@ -389,7 +389,7 @@
     def _record_reply(self, revision: int) -> None:
         now_s = self._context.now_s()
         self._context.registry_confirmed_s = now_s
-        self._calls.record_reply(now_s)
+        self.calls.record_reply(now_s)
         self.contact.record_answer()
         self._on_store_regained(revision)
 
@@ -410,12 +410,12 @@
 
     def _on_store_lost(self, reason: str) -> None:
         now_s = self._context.now_s()
-        took_s = self._calls.record_failure(
+        took_s = self.calls.record_failure(
             now_s,
             0.5 + self._context.environment.random.random(),
         )
         # A host that the store refuses may still learn from its zone.
-        newly_lost = self._calls.failures == 1 or self._is_staler_than(1.0)
+        newly_lost = self.calls.failures == 1 or self._is_staler_than(1.0)
         if self._lost_since_s is None and newly_lost:
             self._lost_since_s = now_s
             self._context.metrics.count('store_lost')
@@ -430,7 +430,7 @@
         self._context.log.emit(
             StoreCallFailed(
                 reason,
-                self._calls.failures,
+                self.calls.failures,
                 took_s,
                 self._find_due_s() - now_s,
                 now_s - self._context.registry_confirmed_s,
--- a/bamboodeck/gateway/store_calls.py
+++ b/bamboodeck/gateway/store_calls.py
@@ -31,8 +31,9 @@
         self.failed_s = 0.0
         # When the store itself last answered.
         self.last_reply_s = 0.0
+        # When the host last called.
+        self.began_s = 0.0
         self._number = 0
-        self._began_s = 0.0
         self._retry_spread = 1.0
 
     def send(
@@ -51,7 +52,7 @@
 
     def give_up_overdue(self, now_s: float) -> bool:
         """Give up a call without a reply, and tell whether there was one."""
-        if not self.in_flight or now_s - self._began_s < MAX_CALL_S:
+        if not self.in_flight or now_s - self.began_s < MAX_CALL_S:
             return False
         self.in_flight = False
         return True
@@ -69,7 +70,7 @@
         self.failures = min(self.failures + 1, MAX_FAILURES)
         self.failed_s = now_s
         self._retry_spread = retry_spread
-        return now_s - self._began_s
+        return now_s - self.began_s
 
     def find_retry_s(self, rank: ZoneRank, *, zone_served: bool) -> float:
         """Return when a host may call again after a failure.
@@ -92,7 +93,7 @@
         number = self._number
         self.in_flight = True
         self.poll_postponed = False
-        self._began_s = now_s
+        self.began_s = now_s
 
         def end(reply: RegistryReply) -> None:
             if not self.in_flight or number != self._number:
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -16,10 +16,11 @@
 from bamboodeck.gateway import store_polling
 from bamboodeck.gateway.known_state import RELIST_S
 from bamboodeck.gateway.ports import RegistryFailed, RegistryReply
+from bamboodeck.http.messages import HttpCall
 from bamboodeck.http.reply_collector import MAX_REPLY_BYTES
 from bamboodeck.loop.program import Loop
 from bamboodeck.platform import protocol, store
-from tests.gateway.harness import GatewayHarness
+from tests.gateway.harness import CallerAnswer, GatewayHarness
 
 
 HEARTBEAT_S = 0.2
@@ -78,6 +79,17 @@
         harness.store.mode = StoreMode.SERVES
         harness.until(lambda: 'store_regained' in harness.log())
 
+    def test_metrics_of_calls(self, harness: GatewayHarness) -> None:
+        """Tell a host that doesn't ask from one that gets no answer."""
+        harness.store.mode = StoreMode.SILENT
+        harness.until(lambda: harness.apps[0].discovery.calls.in_flight)
+        answer = CallerAnswer()
+        call = HttpCall(harness.apps[0].metrics.address, 'GET', '/metrics')
+        harness.client.stream(call, answer)
+        harness.until(lambda: answer.ended)
+        assert b'registry_asked_age_s' in answer.body
+        assert b'registry_call_in_flight' in answer.body
+
     def test_change_after_silence(self, harness: GatewayHarness) -> None:
         """Apply a change although the store forgot the waiting call."""
         harness.store.mode = StoreMode.SILENT
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -266,12 +266,10 @@
 
     def test_one_polls(self, zone: GatewayHarness) -> None:
         """Learn of a new engine without calls of the other hosts."""
-        replies_before = [
-            app.discovery._calls.last_reply_s for app in zone.apps
-        ]
+        replies_before = [app.discovery.calls.last_reply_s for app in zone.apps]
         zone.add_engine('model-1')
         zone.until_engines(1)
-        replies_after = [app.discovery._calls.last_reply_s for app in zone.apps]
+        replies_after = [app.discovery.calls.last_reply_s for app in zone.apps]
         changed = [
             before != after
             for before, after in zip(replies_before, replies_after, strict=True)
@@ -290,7 +288,7 @@
 
     def test_first_cut_off(self, zone: GatewayHarness) -> None:
         """Poll oneself when the first host gets no answer of the store."""
-        zone.apps[0].discovery._calls.in_flight = True
+        zone.apps[0].discovery.calls.in_flight = True
         zone.wait(store_polling.MIN_WAIT_S * 2)
         zone.add_engine('model-1')
         zone.until(
@@ -306,7 +304,7 @@
         """Tell a host that lost its entry while the store refused it."""
         late = zone.apps[-1]
         # It makes no call of its own from here on.
-        late.discovery._calls.in_flight = True
+        late.discovery.calls.in_flight = True
         zone.store.remove(f'{protocol.OWN_PREFIX}hosts/host-{HOSTS}')
         zone.until(
             lambda: (
--- a/tests/gateway/test_lost_polls.py
+++ b/tests/gateway/test_lost_polls.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Callable
+from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -16,6 +17,7 @@
 SLOW_ANSWER_S = 0.24
 CONFIGURATIONS = 3
 GAP_S = 1.3
+CHANGES_OF_ZONE = 20
 
 
 def start_zone(hosts: int, seed: int) -> VirtualZone:
@@ -76,6 +78,33 @@
         assert zone.calls_within(20.0) <= before + 2
 
 
+@pytest.mark.parametrize('seed', range(1, 11))
+@pytest.mark.parametrize('hosts', [MIN_SHARING_HOSTS, 7, 12])
+class TestChangingZone:
+    """Follow the store while the zone shrinks and grows past the bound."""
+
+    def test_hosts_stop_asking_as_zone_changes(
+        self,
+        hosts: int,
+        seed: int,
+    ) -> None:
+        """Have hosts leave and return at any moment of slow and fast calls."""
+        zone = start_zone(hosts, seed)
+        zone.stale_read_s = 0.0
+        random = Random(seed)
+        for _ in range(CHANGES_OF_ZONE):
+            zone.exited = set(random.sample(range(hosts), random.randrange(4)))
+            zone.answer_s = random.choice((ANSWER_S, SLOW_ANSWER_S))
+            if random.random() < 0.5:
+                zone.put_configuration()
+            zone.clock.run(random.uniform(0.1, 1.5))
+        zone.answer_s = ANSWER_S
+        zone.clock.run(BOUNDS.stability_s)
+        zone.put_configuration()
+        zone.clock.run(BOUNDS.configuration_s)
+        assert zone.configured() == hosts - len(zone.exited)
+
+
 @pytest.mark.parametrize('hosts', [1, 5, MIN_SHARING_HOSTS, 30])
 class TestCallWithoutReply:
     """Ask again after a call whose reply never comes."""
--- a/tests/gateway/virtual_zone.py
+++ b/tests/gateway/virtual_zone.py
@@ -360,7 +360,7 @@
         self._silent_connections = {
             rank
             for rank, discovery in enumerate(self.discoveries)
-            if not discovery._calls.in_flight
+            if not discovery.calls.in_flight
         }
 
     def take_silent_connection(self, rank: int) -> bool:
