--- a/review/rig3/callers.py
+++ b/review/rig3/callers.py
@@ -68,7 +68,7 @@
     ) -> None:
         """Use the gateways in turn."""
         self.asked: list[Asked] = []
-        self._client = client
+        self.client = client
         self._gateways = gateways
 
     def send(
@@ -100,5 +100,5 @@
             timeout_s=30.0,
             host=HOST,
         )
-        self._client.stream(call, asked)
+        self.client.stream(call, asked)
         return asked
--- a/review/rig3/fleet.py
+++ b/review/rig3/fleet.py
@@ -65,6 +65,7 @@
         self.engines: dict[str, PlatformEngineFake] = {}
         self.gateways: dict[str, subprocess.Popen] = {}
         self.callers: dict[str, Address] = {}
+        self._ready: dict[str, Address] = {}
         self._limits = limits
 
     def add_engine(
@@ -105,6 +106,7 @@
         beat = f'heartbeat_ms={int(HEARTBEAT_S * 1000)}\n'
         path.write_text(f'{settings}{extra}{beat}')
         self.callers[name] = callers
+        self._ready[name] = ready
         with open(self.folder / f'{name}.log', 'ab') as log:
             self.gateways[name] = subprocess.Popen(
                 [sys.executable, '-S', '-m', 'bamboodeck.gateway'],
@@ -117,7 +119,7 @@
                 stdout=log,
                 stderr=log,
             )
-        self.until(lambda: self._probe(ready), START_LIMIT_S)
+        self.until(lambda: self.is_ready(name), START_LIMIT_S)
 
     def run_for(self, duration_s: float) -> None:
         """Run the stand-ins and the callers for a time."""
@@ -147,8 +149,10 @@
             process.send_signal(signal.SIGKILL)
             process.wait(STOP_LIMIT_S)
 
-    def _probe(self, ready: Address) -> bool:
+    def is_ready(self, name: str) -> bool:
+        """Ask a gateway whether it is ready, as the platform does."""
         outcomes: list = []
+        ready = self._ready[name]
         call = HttpCall(ready, 'GET', protocol.READY_PATH, timeout_s=1.0)
         self.client.send(call, outcomes.append)
         end_s = time.monotonic() + 1.5
