--- a/review/15/play.py
+++ b/review/15/play.py
@@ -1,32 +1,36 @@
-"""Send an engine far more than its limit once no host was told it for long."""
+"""Forget an engine's limit while its entry is away from the store."""
 
 from pathlib import Path
 
 from bamboodeck.fakes.platform.documents import (
-    LOOK,
+    PAY,
     SHOP,
     build_configuration,
 )
 from bamboodeck.fakes.platform.engine import EngineBehaviour
+from bamboodeck.platform import protocol
 from review.rig3.callers import Callers
 from review.rig3.case import Record, run_case
-from review.rig3.fleet import Fleet
+from review.rig3.fleet import HEARTBEAT_S, Fleet
 from review.rig3.limits import NamedLimit, exceeds_limit
 
-GATEWAYS = 3
+GATEWAYS = 6
 ENGINES = 3
-WORK_S = 0.2
-PER_S = 90
+WORK_S = 0.5
+PER_S = 50
 BEFORE_S = 5.0
-LIMITED_S = 45.0
-# Three requests a minute.
-LIMIT_PER_S = 0.05
-# As much as all callers send; the same header, and no need to hold back.
-AMPLE_PER_S = 1000.0
+LIMIT_PER_S = 0.5
+LIMITED = 'shop-0'
+# Until the cut, and after it.
+SETTLED_S = 8.0
+AFTER_S = 8.0
+# A cut of 5 s; the entry lapses after three heartbeats of silence.
+LAPSE_S = 3 * HEARTBEAT_S
+CUT_S = 5.0
 
 
 def play(fleet: Fleet, record: Record, trouble: bool) -> bool:
-    """Have one of three engines name a limit in all its answers."""
+    """Cut an engine that has named a limit off from the store for a while."""
     for number in range(ENGINES):
         behaviour = EngineBehaviour(step_s=WORK_S)
         fleet.add_engine(f'shop-{number}', SHOP, behaviour)
@@ -35,16 +39,20 @@
     callers = Callers(fleet.client, fleet.callers)
     timer = fleet.loop.scheduler.call_every(
         1 / PER_S,
-        lambda: callers.send(LOOK, method='GET'),
+        lambda: callers.send(PAY),
     )
     fleet.run_for(BEFORE_S)
-    limit_per_s = LIMIT_PER_S if trouble else AMPLE_PER_S
-    engine = fleet.engines['shop-0']
-    engine.behaviour.limit_per_s = limit_per_s
-    named_s = fleet.loop.scheduler.now_s()
-    fleet.run_for(LIMITED_S)
+    engine = fleet.engines[LIMITED]
+    engine.behaviour.limit_per_s = LIMIT_PER_S
+    limit = NamedLimit(LIMIT_PER_S, fleet.loop.scheduler.now_s())
+    fleet.run_for(SETTLED_S + LAPSE_S)
+    if trouble:
+        fleet.store.remove(f'{protocol.ENGINE_PREFIX}{LIMITED}')
+    fleet.run_for(CUT_S - LAPSE_S)
+    if trouble:
+        fleet.list_engine(LIMITED, SHOP)
+    fleet.run_for(AFTER_S)
     timer.cancel()
-    limit = NamedLimit(limit_per_s, named_s)
     return exceeds_limit(record, callers, engine, limit)
 
 
