--- a/review/rig3/callers.py
+++ b/review/rig3/callers.py
@@ -1,7 +1,7 @@
 """Send requests as the users' callers do, and record their answers."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from bamboodeck.fakes.platform.documents import HOST, KEY
 from bamboodeck.http.client import HttpClient
@@ -27,6 +27,7 @@
         self.status = 0
         self.failure = ''
         self.body = b''
+        self.on_ended: Callable[[], None] | None = None
 
     @property
     def took_s(self) -> float | None:
@@ -44,11 +45,13 @@
     def on_end(self) -> None:
         """Record the end of a complete answer."""
         self.ended_s = time.monotonic()
+        if self.on_ended is not None:
+            self.on_ended()
 
     def on_failed(self, failure: HttpFailed) -> None:
         """Record that the answer broke off, or that none came."""
         self.failure = failure.reason
-        self.ended_s = time.monotonic()
+        self.on_end()
 
     def describe(self, start_s: float) -> str:
         """Return a line for the record."""
@@ -69,7 +72,7 @@
         """Use the gateways in turn."""
         self.asked: list[Asked] = []
         self.client = client
-        self._gateways = gateways
+        self.gateways = gateways
 
     def send(
         self,
@@ -82,12 +85,12 @@
         gateway: str = '',
     ) -> Asked:
         """Send a request on a kept or a new channel."""
-        names = list(self._gateways)
+        names = list(self.gateways)
         name = gateway or names[len(self.asked) % len(names)]
         asked = Asked(f'r{len(self.asked)}', name)
         self.asked.append(asked)
         call = HttpCall(
-            self._gateways[name],
+            self.gateways[name],
             method,
             path,
             body,
--- a/review/rig3/fleet.py
+++ b/review/rig3/fleet.py
@@ -73,19 +73,39 @@
         engine_id: str,
         service: str,
         behaviour: EngineBehaviour,
+        kind: type[PlatformEngineFake] = PlatformEngineFake,
+        **fields: object,
     ) -> PlatformEngineFake:
         """Start an engine and list it in the store."""
         address = Address(LOOPBACK, 0)
-        engine = PlatformEngineFake(self.loop, address, engine_id, behaviour)
+        engine = kind(self.loop, address, engine_id, behaviour)
         self.engines[engine_id] = engine
-        self.list_engine(engine_id, service)
+        self.list_engine(engine_id, service, **fields)
         return engine
 
-    def list_engine(self, engine_id: str, service: str) -> None:
+    def list_engine(
+        self, engine_id: str, service: str, **fields: object
+    ) -> None:
         """Write the entry of an engine, of the same start as before."""
-        entry = self.engines[engine_id].build_registry_entry(service, ZONE)
+        engine = self.engines[engine_id]
+        entry = engine.build_registry_entry(service, ZONE, **fields)
         self.store.put(f'{protocol.ENGINE_PREFIX}{engine_id}', entry)
 
+    def configure(self, configuration: bytes) -> None:
+        """Write a new manifest."""
+        self.store.put(protocol.CONFIGURATION_KEY, configuration)
+
+    def silence_idle_channels(self) -> int:
+        """Let the channels to the store that rest now go silent for good."""
+        connections = self.store._server.connections
+        resting = {
+            connection
+            for connection, client in connections.items()
+            if client.exchange is None
+        }
+        self.store._silent_connections = resting
+        return len(resting)
+
     def add_gateway(self, name: str) -> None:
         """Start a gateway and wait until it is ready."""
         callers, ready, first, last = _find_ports(4)
